--- /dev/null
+++ b/crates/pimentochute-state/src/cell/end.rs
@@ -0,0 +1,276 @@
+//! The ends of attempts and jobs.
+
+use pimentochute_base::{AttemptNumber, AttemptRef, MilliTime, TaskIndex, WorkKind, WorkerName};
+
+use super::fold::{CellFold, JobSlot};
+use super::limits::{MAX_ENDED_TASKS, RETRY_RESET};
+use super::{JobOutcome, JobPhase, JobState, TaskPhase};
+use crate::{AttemptSequel, CellEffect, EndReason, InvalidReason};
+
+/// An attempt that ended.
+pub(super) struct AttemptEnd {
+    /// The worker that had it.
+    pub(super) worker: WorkerName,
+    /// What follows for the job.
+    pub(super) sequel: AttemptSequel,
+}
+
+/// How an attempt ended.
+struct EndDetail {
+    attempt: AttemptRef,
+    reason: EndReason,
+    worker: WorkerName,
+    at: MilliTime,
+    /// Whether the attempt lasted so long that earlier ends no longer count.
+    long_run: bool,
+}
+
+impl CellFold {
+    pub(super) fn end_task(
+        &mut self,
+        attempt: AttemptRef,
+        reason: EndReason,
+        at: MilliTime,
+    ) -> Result<CellEffect, InvalidReason> {
+        let end = self.end_attempt(attempt, reason, at)?;
+        Ok(CellEffect::TaskEnded {
+            attempt,
+            worker: end.worker,
+            reason,
+            sequel: end.sequel,
+        })
+    }
+
+    /// Frees the place of a live attempt and decides what follows.
+    pub(super) fn end_attempt(
+        &mut self,
+        attempt: AttemptRef,
+        reason: EndReason,
+        at: MilliTime,
+    ) -> Result<AttemptEnd, InvalidReason> {
+        let phase = self.live_task(attempt).map(|task| task.phase.clone());
+        let slot = self.job_slots.get(&attempt.job).copied();
+        let (
+            Some(slot),
+            Some(
+                TaskPhase::Placed {
+                    worker, at: since, ..
+                }
+                | TaskPhase::Running {
+                    worker, at: since, ..
+                },
+            ),
+        ) = (slot, phase)
+        else {
+            return Err(InvalidReason::AttemptNotLive);
+        };
+        self.note_time(at);
+        self.release(slot, attempt, reason, &worker);
+        let detail = EndDetail {
+            attempt,
+            reason,
+            worker: worker.clone(),
+            at,
+            long_run: at.since(since) >= RETRY_RESET,
+        };
+        let sequel = self.follow_up(slot, detail);
+        Ok(AttemptEnd { worker, sequel })
+    }
+
+    /// Uncounts a live attempt for its worker, team and job.
+    fn release(
+        &mut self,
+        slot: JobSlot,
+        attempt: AttemptRef,
+        reason: EndReason,
+        worker: &WorkerName,
+    ) {
+        let Some(job) = self.jobs.get_mut(slot) else {
+            return;
+        };
+        job.live -= 1;
+        // A task that was told to stop says nothing about its worker.
+        let counts = !job.is_stopping() || reason == EndReason::Succeeded;
+        let (team, demand) = (job.spec.team.clone(), job.spec.demand);
+        if let Some(worker) = self.worker_mut(worker) {
+            worker.placements.remove(&attempt);
+            worker.committed = worker.committed.saturating_sub(&demand);
+            if counts {
+                worker.count_end(attempt.job, reason);
+            }
+        }
+        if let Some(team) = self.teams.get_mut(&team) {
+            team.running -= 1;
+        }
+    }
+
+    fn follow_up(&mut self, slot: JobSlot, detail: EndDetail) -> AttemptSequel {
+        let (task, at) = (detail.attempt.task, detail.at);
+        let Some(job) = self.jobs.get_mut(slot) else {
+            return AttemptSequel::JobEnded;
+        };
+        let sequel = match (job.phase, job.spec.kind) {
+            (JobPhase::Active, WorkKind::Gang) => job.end_gang_task(detail),
+            (JobPhase::Active, _) => job.end_single_task(detail),
+            _ => {
+                job.finish_task(task, detail.attempt.attempt, detail.reason, detail.worker);
+                AttemptSequel::JobEnding
+            }
+        };
+        let retries = match (job.phase, job.spec.kind) {
+            (JobPhase::Active, WorkKind::Gang) if job.live == 0 => Some(job.retries),
+            (JobPhase::Active, WorkKind::Batch) => job.task(task).map(|task| task.retries),
+            _ => None,
+        };
+        let limit = job.spec.max_attempts;
+        let outcome = retries.and_then(|retries| retries.exhausted(limit, task));
+        if let Some(outcome) = outcome {
+            self.start_ending(slot, outcome);
+        }
+        if self.settle(slot, at) {
+            AttemptSequel::JobEnded
+        } else if outcome.is_some() {
+            AttemptSequel::JobEnding
+        } else {
+            sequel
+        }
+    }
+
+    /// Ends the waiting tasks of a job, which ends with `outcome` when its
+    /// placed ones have ended.
+    pub(super) fn start_ending(&mut self, slot: JobSlot, outcome: JobOutcome) {
+        let Some(job) = self.jobs.get_mut(slot) else {
+            return;
+        };
+        job.phase = JobPhase::Ending { outcome };
+        for task in &mut job.tasks {
+            if let TaskPhase::Waiting { .. } = task.phase {
+                task.phase = TaskPhase::Done {
+                    attempt: task.phase.last_attempt(),
+                    reason: EndReason::Stopped,
+                    worker: None,
+                };
+            }
+        }
+    }
+
+    /// Ends the job if nothing of it is left; tells whether it has ended.
+    pub(super) fn settle(&mut self, slot: JobSlot, at: MilliTime) -> bool {
+        let Some(job) = self.jobs.get_mut(slot) else {
+            return true;
+        };
+        let outcome = match job.phase {
+            JobPhase::Ended { .. } => return true,
+            _ if job.live > 0 => return false,
+            _ if job.is_complete() => JobOutcome::Succeeded,
+            JobPhase::Ending { outcome } => outcome,
+            JobPhase::Active => return false,
+        };
+        job.phase = JobPhase::Ended { outcome, at };
+        self.active_tasks -= job.tasks.len();
+        job.spec.command = String::new();
+        if job.tasks.len() > MAX_ENDED_TASKS {
+            job.tasks = Vec::new();
+        }
+        let (id, team, number) = (job.spec.id, job.spec.team.clone(), job.number);
+        let index = usize::from(self.slice_of(&team).get());
+        if let Some(slice) = self.slices.get_mut(index) {
+            slice.active.remove(&number);
+        }
+        self.ended.push_back(slot);
+        self.ended_now.push(id);
+        self.forget_ended_jobs();
+        true
+    }
+}
+
+impl JobState {
+    /// Ends the attempt of a task of a batch or service.
+    fn end_single_task(&mut self, detail: EndDetail) -> AttemptSequel {
+        let number = detail.attempt.attempt;
+        if detail.reason == EndReason::Succeeded && self.spec.kind == WorkKind::Batch {
+            self.finish_task(detail.attempt.task, number, detail.reason, detail.worker);
+            return AttemptSequel::TaskDone;
+        }
+        if let Some(task) = self.task_mut(detail.attempt.task) {
+            let wait = task.retries.count(detail.reason, detail.long_run);
+            if detail.reason.blames_worker() {
+                task.avoid(detail.worker);
+            }
+            task.phase = TaskPhase::Waiting {
+                next: number.next(),
+                not_before: detail.at + wait,
+            };
+        }
+        AttemptSequel::Retry
+    }
+
+    /// Ends the attempt of one task of a gang.
+    fn end_gang_task(&mut self, detail: EndDetail) -> AttemptSequel {
+        let number = detail.attempt.attempt;
+        let first = self.broken.is_none() && detail.reason != EndReason::Succeeded;
+        if first {
+            self.broken = Some(detail.reason);
+            if detail.reason.blames_worker()
+                && let Some(task) = self.task_mut(detail.attempt.task)
+            {
+                task.avoid(detail.worker.clone());
+            }
+        }
+        self.finish_task(detail.attempt.task, number, detail.reason, detail.worker);
+        match self.broken {
+            None => AttemptSequel::TaskDone,
+            Some(_) if self.live > 0 => AttemptSequel::GangBroken,
+            Some(reason) => {
+                self.restart_gang(reason, number, detail.at, detail.long_run);
+                AttemptSequel::GangRetry
+            }
+        }
+    }
+
+    /// Lets all tasks of a gang wait for the next attempt.
+    fn restart_gang(
+        &mut self,
+        reason: EndReason,
+        number: AttemptNumber,
+        at: MilliTime,
+        long_run: bool,
+    ) {
+        let not_before = at + self.retries.count(reason, long_run);
+        self.broken = None;
+        self.succeeded = 0;
+        for task in &mut self.tasks {
+            task.phase = TaskPhase::Waiting {
+                next: number.next(),
+                not_before,
+            };
+        }
+    }
+
+    /// Ends a task for good, or until its gang is tried again.
+    fn finish_task(
+        &mut self,
+        task: TaskIndex,
+        attempt: AttemptNumber,
+        reason: EndReason,
+        worker: WorkerName,
+    ) {
+        if reason == EndReason::Succeeded {
+            self.succeeded += 1;
+        }
+        if let Some(task) = self.task_mut(task) {
+            task.phase = TaskPhase::Done {
+                attempt,
+                reason,
+                worker: Some(worker),
+            };
+        }
+    }
+}
+
+impl EndReason {
+    /// Tells whether the attempt is avoided on its worker from now on.
+    const fn blames_worker(self) -> bool {
+        matches!(self, Self::Failed | Self::RefusedByWorker)
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-state/src/cell/fold.rs
@@ -0,0 +1,300 @@
+//! The state of a data centre and how it is read.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use pimentochute_base::{
+    AttemptRef, JobId, LogOffset, MilliTime, SliceIndex, TeamName, WorkerName,
+};
+use slotmap::{SlotMap, new_key_type};
+use smallvec::SmallVec;
+
+use super::owner::{SliceOwner, SliceState, TeamState};
+use super::{CellSnapshot, JobState, SnapshotError, TaskState, WorkerState};
+use crate::decode::next_record;
+use crate::{
+    CellEffect, CellRecord, InvalidReason, RecordBatch, RecordError, RecordOutcome, StampedRecord,
+    slice_of,
+};
+
+new_key_type! {
+    /// The place of a job in the arena.
+    pub(super) struct JobSlot;
+    /// The place of a worker in the arena.
+    pub(super) struct WorkerSlot;
+}
+
+/// The jobs, placements and owners of a data centre as its stream orders them.
+///
+/// Two folds that applied the same records are equal: no clock, no random
+/// number and no order of a hash map takes part.
+#[derive(Debug, Clone, Default)]
+pub struct CellFold {
+    /// The offset that is applied next.
+    pub(super) next_offset: LogOffset,
+    /// The latest time of a valid record; it never goes back.
+    pub(super) latest: MilliTime,
+    /// The number of the next job.
+    pub(super) next_number: u64,
+    /// Every remembered job.
+    pub(super) jobs: SlotMap<JobSlot, JobState>,
+    /// The jobs of `jobs`; never iterated.
+    pub(super) job_slots: HashMap<JobId, JobSlot>,
+    /// The jobs that have ended, in the order of their ends.
+    pub(super) ended: VecDeque<JobSlot>,
+    /// The number of tasks of jobs that have not ended.
+    pub(super) active_tasks: usize,
+    /// Every known worker.
+    pub(super) workers: SlotMap<WorkerSlot, WorkerState>,
+    /// The workers of `workers`.
+    pub(super) worker_slots: BTreeMap<WorkerName, WorkerSlot>,
+    /// The lost workers, the longest lost first.
+    pub(super) lost: VecDeque<WorkerSlot>,
+    /// Every known team.
+    pub(super) teams: BTreeMap<TeamName, TeamState>,
+    /// The slices; at least one, and their number never changes.
+    pub(super) slices: Vec<SliceState>,
+    /// The jobs that the record at hand ended; empty between records.
+    pub(super) ended_now: SmallVec<[JobId; 1]>,
+    /// The jobs that the record at hand made the fold forget; empty between
+    /// records.
+    pub(super) dropped_now: SmallVec<[JobId; 1]>,
+}
+
+impl CellFold {
+    /// Creates the fold of an empty stream; zero slices count as one.
+    #[must_use]
+    pub fn new(slices: u16) -> Self {
+        Self {
+            slices: vec![SliceState::default(); usize::from(slices.max(1))],
+            ..Self::default()
+        }
+    }
+
+    /// Applies the batch of records at an offset and returns one outcome per
+    /// record, in order.
+    ///
+    /// # Errors
+    /// Fails without any change if the offset is not the next one, and with a
+    /// change of the offset only if the payload cannot be decoded.
+    pub fn apply(
+        &mut self,
+        offset: LogOffset,
+        payload: &[u8],
+    ) -> Result<Vec<RecordOutcome>, RecordError> {
+        let batch: RecordBatch = next_record(&mut self.next_offset, offset, payload)?;
+        let records = batch.records.into_iter();
+        Ok(records.map(|record| self.apply_record(record)).collect())
+    }
+
+    /// Returns the offset that is applied next.
+    #[must_use]
+    pub const fn next_offset(&self) -> LogOffset {
+        self.next_offset
+    }
+
+    /// Returns the latest wall-clock time of a valid record.
+    #[must_use]
+    pub const fn latest_time(&self) -> MilliTime {
+        self.latest
+    }
+
+    /// Returns a remembered job.
+    #[must_use]
+    pub fn job(&self, job: JobId) -> Option<&JobState> {
+        self.jobs.get(*self.job_slots.get(&job)?)
+    }
+
+    /// Returns the remembered jobs by team, then in the order of submission.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
+        let slots = self.teams.values().flat_map(|team| team.jobs.values());
+        slots.filter_map(|slot| self.jobs.get(*slot))
+    }
+
+    /// Returns the remembered jobs of a team in the order of submission.
+    #[must_use]
+    pub fn jobs_of(&self, team: &TeamName) -> impl DoubleEndedIterator<Item = &JobState> {
+        let team = self.teams.get(team);
+        let slots = team.into_iter().flat_map(|team| team.jobs.values());
+        slots.filter_map(|slot| self.jobs.get(*slot))
+    }
+
+    /// Returns the jobs of a slice that have not ended, in the order of
+    /// submission.
+    #[must_use]
+    pub fn active_jobs(&self, slice: SliceIndex) -> impl DoubleEndedIterator<Item = &JobState> {
+        let slice = self.slice(slice);
+        let slots = slice.into_iter().flat_map(|slice| slice.active.values());
+        slots.filter_map(|slot| self.jobs.get(*slot))
+    }
+
+    /// Returns the number of jobs that have not ended.
+    #[must_use]
+    pub fn active_job_count(&self) -> usize {
+        self.jobs.len() - self.ended.len()
+    }
+
+    /// Returns the task of a live attempt; none if the attempt has ended or
+    /// was never placed.
+    #[must_use]
+    pub fn live_task(&self, attempt: AttemptRef) -> Option<&TaskState> {
+        let task = self.job(attempt.job)?.task(attempt.task)?;
+        let (number, ..) = task.phase.place()?;
+        (number == attempt.attempt).then_some(task)
+    }
+
+    /// Tells whether a live attempt is to be kept running, which is false for
+    /// the tasks of a job that is ending and of a gang that is broken.
+    #[must_use]
+    pub fn is_desired(&self, attempt: AttemptRef) -> bool {
+        let stopping = self.job(attempt.job).is_none_or(JobState::is_stopping);
+        !stopping && self.live_task(attempt).is_some()
+    }
+
+    /// Returns a known worker.
+    #[must_use]
+    pub fn worker(&self, name: &WorkerName) -> Option<&WorkerState> {
+        self.workers.get(*self.worker_slots.get(name)?)
+    }
+
+    /// Returns the known workers by name, lost ones included.
+    #[must_use]
+    pub fn workers(&self) -> impl ExactSizeIterator<Item = &WorkerState> {
+        // Every slot of the index is in the arena; the arena's order would
+        // depend on the workers that were forgotten.
+        let mut known = Vec::with_capacity(self.worker_slots.len());
+        known.extend(
+            self.worker_slots
+                .values()
+                .filter_map(|slot| self.workers.get(*slot)),
+        );
+        known.into_iter()
+    }
+
+    /// Returns the live attempts on a worker.
+    pub fn placements(&self, worker: &WorkerName) -> impl Iterator<Item = AttemptRef> {
+        let worker = self.worker(worker).into_iter();
+        worker.flat_map(|worker| worker.placements.iter().copied())
+    }
+
+    /// Returns a known team.
+    #[must_use]
+    pub fn team(&self, team: &TeamName) -> Option<&TeamState> {
+        self.teams.get(team)
+    }
+
+    /// Returns the known teams by name.
+    #[must_use]
+    pub fn teams(&self) -> impl ExactSizeIterator<Item = (&TeamName, &TeamState)> {
+        self.teams.iter()
+    }
+
+    /// Returns a slice.
+    #[must_use]
+    pub fn slice(&self, slice: SliceIndex) -> Option<&SliceState> {
+        self.slices.get(usize::from(slice.get()))
+    }
+
+    /// Returns the number of slices.
+    #[must_use]
+    pub fn slice_count(&self) -> u16 {
+        u16::try_from(self.slices.len()).unwrap_or(u16::MAX)
+    }
+
+    /// Returns the slice of a team.
+    #[must_use]
+    pub fn slice_of(&self, team: &TeamName) -> SliceIndex {
+        slice_of(team, self.slice_count())
+    }
+
+    /// Returns the number of placed and running tasks.
+    #[must_use]
+    pub fn placed_tasks(&self) -> u64 {
+        self.teams
+            .values()
+            .map(|team| u64::from(team.running))
+            .sum()
+    }
+
+    /// Returns the state for a snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> CellSnapshot {
+        CellSnapshot::from(self)
+    }
+
+    /// Restores the state of a snapshot.
+    ///
+    /// # Errors
+    /// Fails if the snapshot contradicts itself.
+    pub fn from_snapshot(snapshot: CellSnapshot) -> Result<Self, SnapshotError> {
+        Self::try_from(snapshot)
+    }
+
+    pub(super) fn worker_mut(&mut self, name: &WorkerName) -> Option<&mut WorkerState> {
+        self.workers.get_mut(*self.worker_slots.get(name)?)
+    }
+
+    pub(super) fn note_time(&mut self, at: MilliTime) {
+        self.latest = self.latest.max(at);
+    }
+
+    fn apply_record(&mut self, stamped: StampedRecord) -> RecordOutcome {
+        let effect = self.dispatch(stamped.record);
+        RecordOutcome {
+            tag: stamped.tag,
+            effect,
+            ended: std::mem::take(&mut self.ended_now),
+            dropped: std::mem::take(&mut self.dropped_now),
+        }
+    }
+
+    fn dispatch(&mut self, record: CellRecord) -> Result<CellEffect, InvalidReason> {
+        match record {
+            CellRecord::JobSubmitted { spec, at } => self.submit_job(spec, at),
+            CellRecord::JobCancelled { job, at } => self.cancel_job(job, at),
+            CellRecord::JobRefused {
+                job,
+                slice,
+                epoch,
+                reason,
+                at,
+            } => self.refuse_job(job, (slice, epoch), reason, at),
+            CellRecord::TasksPlaced {
+                job,
+                slice,
+                epoch,
+                tasks,
+                at,
+            } => self.place_tasks(job, (slice, epoch), tasks, at),
+            CellRecord::TaskStarted { attempt, at } => self.start_task(attempt, at),
+            CellRecord::TaskEnded {
+                attempt,
+                reason,
+                at,
+            } => self.end_task(attempt, reason, at),
+            CellRecord::WorkerSeen {
+                worker,
+                incarnation,
+                rack,
+                capacity,
+            } => self.see_worker(worker, incarnation, rack, capacity),
+            CellRecord::WorkerLost {
+                worker,
+                incarnation,
+                at,
+            } => self.lose_worker(worker, incarnation, at),
+            CellRecord::WorkerHealthSet { worker, health } => self.set_health(worker, health),
+            CellRecord::SliceClaimed {
+                slice,
+                host,
+                incarnation,
+                epoch,
+            } => self.claim_slice(slice, SliceOwner { host, incarnation }, epoch),
+            CellRecord::SliceReleased { slice, epoch } => self.release_slice(slice, epoch),
+            CellRecord::AllotmentSet {
+                team,
+                version,
+                tasks,
+            } => self.set_allotment(team, version, tasks),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-state/src/cell/owner.rs
@@ -0,0 +1,140 @@
+//! Slices and teams.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::{
+    ConfigVersion, EpochNumber, HostIncarnation, HostName, SliceIndex, TeamName,
+};
+use serde::{Deserialize, Serialize};
+
+use super::fold::{CellFold, JobSlot};
+use super::limits::MAX_CELL_TEAMS;
+use crate::{CellEffect, InvalidReason, slice_of};
+
+/// A slice of the teams.
+#[derive(Debug, Clone, Default)]
+pub struct SliceState {
+    /// The owner; none before the first claim and after a release.
+    pub owner: Option<SliceOwner>,
+    /// The epoch of the last claim; it never goes down.
+    pub epoch: EpochNumber,
+    /// The jobs of the slice that have not ended, by number.
+    pub(super) active: BTreeMap<u64, JobSlot>,
+}
+
+/// The owner of a slice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SliceOwner {
+    /// The host.
+    pub host: HostName,
+    /// The run of the host's process.
+    pub incarnation: HostIncarnation,
+}
+
+/// A team in the data centre.
+#[derive(Debug, Clone, Default)]
+pub struct TeamState {
+    /// The number of placed and running tasks of the team.
+    pub running: u32,
+    /// The most tasks that are placed; zero until an allotment is set.
+    pub allotment: u32,
+    /// The configuration that the allotment follows; it never goes down.
+    pub version: ConfigVersion,
+    /// The remembered jobs of the team, by number.
+    pub(super) jobs: BTreeMap<u64, JobSlot>,
+}
+
+impl CellFold {
+    pub(super) fn claim_slice(
+        &mut self,
+        slice: SliceIndex,
+        owner: SliceOwner,
+        epoch: EpochNumber,
+    ) -> Result<CellEffect, InvalidReason> {
+        let state = self
+            .slices
+            .get_mut(usize::from(slice.get()))
+            .ok_or(InvalidReason::UnknownSlice)?;
+        if state.epoch.get().checked_add(1) != Some(epoch.get()) {
+            let current = state.epoch;
+            return Err(InvalidReason::EpochTaken { current });
+        }
+        state.epoch = epoch;
+        let effect = CellEffect::SliceClaimed {
+            slice,
+            host: owner.host.clone(),
+            incarnation: owner.incarnation,
+            epoch,
+        };
+        state.owner = Some(owner);
+        Ok(effect)
+    }
+
+    pub(super) fn release_slice(
+        &mut self,
+        slice: SliceIndex,
+        epoch: EpochNumber,
+    ) -> Result<CellEffect, InvalidReason> {
+        self.check_epoch(slice, epoch)?;
+        if let Some(state) = self.slices.get_mut(usize::from(slice.get())) {
+            state.owner = None;
+        }
+        Ok(CellEffect::SliceReleased { slice, epoch })
+    }
+
+    pub(super) fn set_allotment(
+        &mut self,
+        team: TeamName,
+        version: ConfigVersion,
+        tasks: u32,
+    ) -> Result<CellEffect, InvalidReason> {
+        self.check_team_room(&team)?;
+        let state = self.teams.entry(team.clone()).or_default();
+        if version <= state.version {
+            let current = state.version;
+            return Err(InvalidReason::OldVersion { current });
+        }
+        state.version = version;
+        state.allotment = tasks;
+        Ok(CellEffect::AllotmentSet {
+            team,
+            version,
+            tasks,
+        })
+    }
+
+    /// Checks that the slice is that of the team and the epoch is in force.
+    pub(super) fn check_ownership(
+        &self,
+        team: &TeamName,
+        slice: SliceIndex,
+        epoch: EpochNumber,
+    ) -> Result<(), InvalidReason> {
+        let expected = slice_of(team, self.slice_count());
+        if slice != expected {
+            return Err(InvalidReason::WrongSlice { expected });
+        }
+        self.check_epoch(slice, epoch)
+    }
+
+    /// Checks that there is room for a team if it is a new one.
+    pub(super) fn check_team_room(&self, team: &TeamName) -> Result<(), InvalidReason> {
+        if self.teams.len() >= MAX_CELL_TEAMS && !self.teams.contains_key(team) {
+            return Err(InvalidReason::Full { what: "teams" });
+        }
+        Ok(())
+    }
+
+    fn check_epoch(&self, slice: SliceIndex, epoch: EpochNumber) -> Result<(), InvalidReason> {
+        let state = self.slice(slice).ok_or(InvalidReason::UnknownSlice)?;
+        if state.epoch != epoch {
+            let current = state.epoch;
+            return Err(InvalidReason::StaleEpoch { current });
+        }
+        if state.owner.is_none() {
+            return Err(InvalidReason::SliceNotOwned);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-state/src/cell/restore.rs
@@ -0,0 +1,231 @@
+//! The restoration of the cell's state from a snapshot.
+
+use std::collections::BTreeSet;
+
+use derive_more::{Display, Error};
+use pimentochute_base::{AttemptRef, JobId, ResourceAmount, TeamName, WorkerName};
+use smallvec::SmallVec;
+
+use super::fold::{CellFold, JobSlot};
+use super::limits::{MAX_ENDED_JOBS, MAX_FAILED_JOBS, MAX_LOST_WORKERS, MAX_PAST_INCARNATIONS};
+use super::owner::{SliceState, TeamState};
+use super::snapshot::{CellSnapshot, JobWire, SliceWire, TeamWire, WorkerWire};
+use super::{JobState, WorkerState};
+use crate::EndReason;
+
+/// The reason why a snapshot of a cell is not usable.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum SnapshotError {
+    /// There is no slice, or there are too many.
+    #[display("the snapshot has {count} slices; hint: load another snapshot")]
+    Slices {
+        /// The number found.
+        count: usize,
+    },
+    /// A list is longer than the fold keeps.
+    #[display("the snapshot has too many {what}; hint: load another snapshot")]
+    TooLong {
+        /// What there is too much of.
+        what: &'static str,
+    },
+    /// A team is listed twice, or a job's team is not listed.
+    #[display("team {team} is not listed once; hint: load another snapshot")]
+    Team {
+        /// The team.
+        team: TeamName,
+    },
+    /// A worker is listed twice, or contradicts itself.
+    #[display("worker {worker} contradicts the rest; hint: load another snapshot")]
+    Worker {
+        /// The worker.
+        worker: WorkerName,
+    },
+    /// A job is listed twice, or contradicts itself.
+    #[display("job {job} contradicts the rest; hint: load another snapshot")]
+    Job {
+        /// The job.
+        job: JobId,
+    },
+    /// A place is on a worker that is lost, unknown or another incarnation.
+    #[display("attempt {attempt} has no valid place; hint: load another snapshot")]
+    Place {
+        /// The attempt.
+        attempt: AttemptRef,
+    },
+}
+
+impl TryFrom<CellSnapshot> for CellFold {
+    type Error = SnapshotError;
+
+    fn try_from(snapshot: CellSnapshot) -> Result<Self, SnapshotError> {
+        let count = snapshot.slices.len();
+        if count == 0 || count > usize::from(u16::MAX) {
+            return Err(SnapshotError::Slices { count });
+        }
+        if snapshot.ended.len() > MAX_ENDED_JOBS {
+            return Err(SnapshotError::TooLong { what: "ended jobs" });
+        }
+        let mut fold = Self {
+            next_offset: snapshot.next_offset,
+            latest: snapshot.latest,
+            next_number: snapshot.next_number,
+            slices: snapshot.slices.into_iter().map(SliceState::from).collect(),
+            ..Self::default()
+        };
+        for team in snapshot.teams {
+            fold.restore_team(team)?;
+        }
+        for worker in snapshot.workers {
+            fold.restore_worker(worker)?;
+        }
+        let active = snapshot.active.into_iter().map(|job| (job, false));
+        let ended = snapshot.ended.into_iter().map(|job| (job, true));
+        let mut numbers = BTreeSet::new();
+        for (job, ended) in active.chain(ended) {
+            let fresh = numbers.insert(job.number);
+            let job = JobState::from(job);
+            if !fresh || job.number >= fold.next_number || job.has_ended() != ended {
+                return Err(SnapshotError::Job { job: job.spec.id });
+            }
+            fold.restore_job(job)?;
+        }
+        Ok(fold)
+    }
+}
+
+impl CellFold {
+    fn restore_team(&mut self, wire: TeamWire) -> Result<(), SnapshotError> {
+        let state = TeamState {
+            allotment: wire.allotment,
+            version: wire.version,
+            ..TeamState::default()
+        };
+        match self.teams.insert(wire.team.clone(), state) {
+            None => Ok(()),
+            Some(_) => Err(SnapshotError::Team { team: wire.team }),
+        }
+    }
+
+    fn restore_worker(&mut self, wire: WorkerWire) -> Result<(), SnapshotError> {
+        let (name, lost) = (wire.name.clone(), wire.lost);
+        let fits = wire.failed_jobs.len() <= MAX_FAILED_JOBS
+            && wire.past.len() <= MAX_PAST_INCARNATIONS
+            && !wire.past.contains(&wire.incarnation);
+        if !fits || self.worker_slots.contains_key(&name) {
+            return Err(SnapshotError::Worker { worker: name });
+        }
+        let slot = self.workers.insert(WorkerState::from(wire));
+        self.worker_slots.insert(name, slot);
+        if lost {
+            self.lost.push_back(slot);
+        }
+        if self.lost.len() > MAX_LOST_WORKERS {
+            let what = "lost workers";
+            return Err(SnapshotError::TooLong { what });
+        }
+        Ok(())
+    }
+
+    fn restore_job(&mut self, job: JobState) -> Result<(), SnapshotError> {
+        let id = job.spec.id;
+        if !is_consistent(&job) || self.job_slots.contains_key(&id) {
+            return Err(SnapshotError::Job { job: id });
+        }
+        if !self.teams.contains_key(&job.spec.team) {
+            let team = job.spec.team.clone();
+            return Err(SnapshotError::Team { team });
+        }
+        let slot = self.add_job(job);
+        self.restore_places(slot)
+    }
+
+    fn restore_places(&mut self, slot: JobSlot) -> Result<(), SnapshotError> {
+        let Some(job) = self.jobs.get(slot) else {
+            return Ok(());
+        };
+        let (id, team, demand) = (job.spec.id, job.spec.team.clone(), job.spec.demand);
+        let live = job.indexed_tasks().filter_map(|(task, state)| {
+            let (attempt, worker, incarnation) = state.phase.place()?;
+            let job = id;
+            let attempt = AttemptRef { job, task, attempt };
+            Some((attempt, worker.clone(), incarnation))
+        });
+        let places: Vec<_> = live.collect();
+        for (attempt, name, incarnation) in places {
+            let valid = self.worker(&name).is_some_and(|worker| {
+                !worker.lost
+                    && worker.incarnation == incarnation
+                    && worker.committed.checked_add(&demand).is_some()
+            });
+            if !valid {
+                return Err(SnapshotError::Place { attempt });
+            }
+            self.commit(&name, &team, attempt, &demand);
+        }
+        Ok(())
+    }
+}
+
+/// Tells whether the counts of a job match its tasks.
+fn is_consistent(job: &JobState) -> bool {
+    let count = u32::try_from(job.tasks.len()).ok();
+    if job.has_ended() {
+        return job.live == 0 && (job.tasks.is_empty() || count == Some(job.spec.tasks));
+    }
+    let succeeded = job.tasks.iter().filter(|task| {
+        use super::TaskPhase::Done;
+        matches!(
+            task.phase,
+            Done {
+                reason: EndReason::Succeeded,
+                ..
+            }
+        )
+    });
+    count == Some(job.spec.tasks) && u32::try_from(succeeded.count()).ok() == Some(job.succeeded)
+}
+
+impl From<SliceWire> for SliceState {
+    fn from(wire: SliceWire) -> Self {
+        Self {
+            owner: wire.owner,
+            epoch: wire.epoch,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<WorkerWire> for WorkerState {
+    fn from(wire: WorkerWire) -> Self {
+        Self {
+            name: wire.name,
+            incarnation: wire.incarnation,
+            rack: wire.rack,
+            capacity: wire.capacity,
+            committed: ResourceAmount::ZERO,
+            health: wire.health,
+            lost: wire.lost,
+            placements: BTreeSet::new(),
+            failed_jobs: SmallVec::from_iter(wire.failed_jobs),
+            past: SmallVec::from_iter(wire.past),
+        }
+    }
+}
+
+impl From<JobWire> for JobState {
+    fn from(wire: JobWire) -> Self {
+        let live = wire.tasks.iter().filter(|task| task.phase.is_live());
+        Self {
+            live: u32::try_from(live.count()).unwrap_or(u32::MAX),
+            spec: wire.spec,
+            fingerprint: wire.fingerprint,
+            number: wire.number,
+            submitted_at: wire.submitted_at,
+            phase: wire.state,
+            tasks: wire.tasks,
+            succeeded: wire.succeeded,
+            broken: wire.broken,
+            retries: wire.retries,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-state/src/cell/worker.rs
@@ -0,0 +1,211 @@
+//! Workers and their health.
+
+use std::collections::BTreeSet;
+
+use pimentochute_base::{
+    AttemptRef, JobId, MilliTime, RackName, ResourceAmount, WorkerIncarnation, WorkerName,
+};
+use smallvec::SmallVec;
+
+use super::fold::CellFold;
+use super::limits::{MAX_FAILED_JOBS, MAX_LOST_WORKERS, MAX_PAST_INCARNATIONS, MAX_WORKERS};
+use crate::{AttemptSequel, CellEffect, EndReason, InvalidReason, WorkerHealth};
+
+/// A worker of the data centre.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerState {
+    /// The worker's name.
+    pub name: WorkerName,
+    /// The run of its process.
+    pub incarnation: WorkerIncarnation,
+    /// Its rack.
+    pub rack: RackName,
+    /// What it has in all.
+    pub capacity: ResourceAmount,
+    /// The sum of the demands of `placements`. It is within `capacity` unless
+    /// the worker was seen with less than before; it is never raised then.
+    pub committed: ResourceAmount,
+    /// Whether it is given tasks.
+    pub health: WorkerHealth,
+    /// Whether it is lost. A lost worker has no placements.
+    pub lost: bool,
+    /// The attempts that have their place on `incarnation`.
+    pub placements: BTreeSet<AttemptRef>,
+    /// The different jobs that failed on the worker since its last success,
+    /// the oldest first.
+    pub failed_jobs: SmallVec<[JobId; MAX_FAILED_JOBS]>,
+    /// Earlier incarnations, the oldest first.
+    pub past: SmallVec<[WorkerIncarnation; 1]>,
+}
+
+impl WorkerState {
+    /// Returns the capacity that is not committed.
+    #[must_use]
+    pub const fn free(&self) -> ResourceAmount {
+        self.capacity.saturating_sub(&self.committed)
+    }
+
+    /// Counts the end of an attempt for the worker's health.
+    pub(super) fn count_end(&mut self, job: JobId, reason: EndReason) {
+        match reason {
+            EndReason::Succeeded => self.failed_jobs.clear(),
+            EndReason::Failed | EndReason::RefusedByWorker => {
+                if !self.failed_jobs.contains(&job) && self.failed_jobs.len() < MAX_FAILED_JOBS {
+                    self.failed_jobs.push(job);
+                }
+            }
+            EndReason::Stopped | EndReason::Lapsed => {}
+        }
+    }
+
+    fn replace_incarnation(&mut self, incarnation: WorkerIncarnation) {
+        if self.past.len() >= MAX_PAST_INCARNATIONS {
+            self.past.remove(0);
+        }
+        self.past.push(self.incarnation);
+        self.incarnation = incarnation;
+    }
+}
+
+impl CellFold {
+    pub(super) fn see_worker(
+        &mut self,
+        name: WorkerName,
+        incarnation: WorkerIncarnation,
+        rack: RackName,
+        capacity: ResourceAmount,
+    ) -> Result<CellEffect, InvalidReason> {
+        let Some(&slot) = self.worker_slots.get(&name) else {
+            return self.add_worker(name, incarnation, rack, capacity);
+        };
+        let Some(worker) = self.workers.get(slot) else {
+            return Err(InvalidReason::UnknownWorker { worker: name });
+        };
+        if worker.past.contains(&incarnation) {
+            return Err(InvalidReason::OtherIncarnation { worker: name });
+        }
+        let restarted = worker.incarnation != incarnation;
+        if !restarted && !worker.lost && worker.rack == rack && worker.capacity == capacity {
+            return Err(InvalidReason::Unchanged);
+        }
+        let lapsed = if restarted {
+            self.lapse_all(&name, self.latest)
+        } else {
+            Vec::new()
+        };
+        self.lost.retain(|lost| *lost != slot);
+        if let Some(worker) = self.workers.get_mut(slot) {
+            if restarted {
+                worker.replace_incarnation(incarnation);
+            }
+            worker.rack = rack;
+            worker.capacity = capacity;
+            worker.lost = false;
+        }
+        Ok(CellEffect::WorkerSeen {
+            worker: name,
+            incarnation,
+            lapsed,
+        })
+    }
+
+    pub(super) fn lose_worker(
+        &mut self,
+        name: WorkerName,
+        incarnation: WorkerIncarnation,
+        at: MilliTime,
+    ) -> Result<CellEffect, InvalidReason> {
+        let Some(&slot) = self.worker_slots.get(&name) else {
+            return Err(InvalidReason::UnknownWorker { worker: name });
+        };
+        let worker = self.workers.get(slot);
+        if worker.is_none_or(|worker| worker.incarnation != incarnation) {
+            return Err(InvalidReason::OtherIncarnation { worker: name });
+        }
+        if worker.is_some_and(|worker| worker.lost) {
+            return Err(InvalidReason::WorkerLost { worker: name });
+        }
+        self.note_time(at);
+        let lapsed = self.lapse_all(&name, at);
+        if let Some(worker) = self.workers.get_mut(slot) {
+            worker.lost = true;
+        }
+        self.lost.push_back(slot);
+        self.forget_lost_workers();
+        Ok(CellEffect::WorkerLost {
+            worker: name,
+            lapsed,
+        })
+    }
+
+    pub(super) fn set_health(
+        &mut self,
+        name: WorkerName,
+        health: WorkerHealth,
+    ) -> Result<CellEffect, InvalidReason> {
+        let Some(worker) = self.worker_mut(&name) else {
+            return Err(InvalidReason::UnknownWorker { worker: name });
+        };
+        if worker.health == health {
+            return Err(InvalidReason::Unchanged);
+        }
+        worker.health = health;
+        Ok(CellEffect::WorkerHealthSet {
+            worker: name,
+            health,
+        })
+    }
+
+    fn add_worker(
+        &mut self,
+        name: WorkerName,
+        incarnation: WorkerIncarnation,
+        rack: RackName,
+        capacity: ResourceAmount,
+    ) -> Result<CellEffect, InvalidReason> {
+        if self.workers.len() >= MAX_WORKERS {
+            return Err(InvalidReason::Full { what: "workers" });
+        }
+        let slot = self.workers.insert(WorkerState {
+            name: name.clone(),
+            incarnation,
+            rack,
+            capacity,
+            committed: ResourceAmount::ZERO,
+            health: WorkerHealth::Healthy,
+            lost: false,
+            placements: BTreeSet::new(),
+            failed_jobs: SmallVec::new(),
+            past: SmallVec::new(),
+        });
+        self.worker_slots.insert(name.clone(), slot);
+        Ok(CellEffect::WorkerSeen {
+            worker: name,
+            incarnation,
+            lapsed: Vec::new(),
+        })
+    }
+
+    /// Ends every attempt on a worker as lapsed.
+    fn lapse_all(&mut self, name: &WorkerName, at: MilliTime) -> Vec<(AttemptRef, AttemptSequel)> {
+        let attempts: Vec<AttemptRef> = self
+            .worker(name)
+            .map(|worker| worker.placements.iter().copied().collect())
+            .unwrap_or_default();
+        let ends = attempts.into_iter().filter_map(|attempt| {
+            let end = self.end_attempt(attempt, EndReason::Lapsed, at).ok()?;
+            Some((attempt, end.sequel))
+        });
+        ends.collect()
+    }
+
+    fn forget_lost_workers(&mut self) {
+        while self.lost.len() > MAX_LOST_WORKERS
+            && let Some(slot) = self.lost.pop_front()
+        {
+            if let Some(worker) = self.workers.remove(slot) {
+                self.worker_slots.remove(&worker.name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-state/src/config_fold.rs
@@ -0,0 +1,291 @@
+//! The fold of the `config` stream.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use pimentochute_base::{ConfigVersion, KeyId, LogOffset, PatchId, stable_hash};
+use serde::{Deserialize, Serialize};
+
+use crate::config_check::{check_config, patched_config};
+use crate::decode::next_record;
+use crate::{
+    CellConfig, ConfigPatch, ConfigRecord, PatchAnswer, PatchEntry, PatchOperation, PatchOutcome,
+    RecordError, RejectReason,
+};
+
+/// The most remembered versions. A configuration of the target size takes
+/// about 100 KB, so that all take about 3 MB.
+pub const MAX_VERSIONS: usize = 32;
+
+/// The most remembered patches: a day of changes at the target size is 3,400.
+pub const MAX_HISTORY: usize = 4_096;
+
+/// The most remembered withdrawn keys; the oldest is forgotten first.
+pub const MAX_RETIRED_KEYS: usize = 16_384;
+
+/// The configuration as the `config` stream orders it.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigFold {
+    /// The offset that is applied next.
+    next_offset: LogOffset,
+    /// The configuration in force; its version never goes down.
+    current: Arc<CellConfig>,
+    /// Earlier versions in ascending order, then the current one.
+    versions: VecDeque<Arc<CellConfig>>,
+    /// The remembered patches, the oldest first.
+    history: VecDeque<PatchEntry>,
+    /// The entries of `history` by patch. An entry's position is its number
+    /// minus `forgotten`.
+    numbers: BTreeMap<PatchId, u64>,
+    /// The number of patches that left `history`.
+    forgotten: u64,
+    /// Withdrawn keys, the oldest first.
+    retired: VecDeque<KeyId>,
+    /// The keys of `retired`.
+    retired_set: BTreeSet<KeyId>,
+}
+
+impl ConfigFold {
+    /// Creates the fold of an empty stream: version zero, nothing configured.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut fold = Self::default();
+        fold.versions.push_back(Arc::clone(&fold.current));
+        fold
+    }
+
+    /// Applies the record at an offset.
+    ///
+    /// # Errors
+    /// Fails without any change if the offset is not the next one, and with a
+    /// change of the offset only if the payload cannot be decoded.
+    pub fn apply(&mut self, offset: LogOffset, payload: &[u8]) -> Result<PatchAnswer, RecordError> {
+        let record: ConfigRecord = next_record(&mut self.next_offset, offset, payload)?;
+        let ConfigRecord::Patch(patch) = record;
+        Ok(self.apply_patch(&patch))
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub const fn current(&self) -> &Arc<CellConfig> {
+        &self.current
+    }
+
+    /// Returns a version that is still remembered.
+    #[must_use]
+    pub fn version(&self, version: ConfigVersion) -> Option<&Arc<CellConfig>> {
+        let found = self
+            .versions
+            .binary_search_by_key(&version, |config| config.version);
+        found.ok().and_then(|index| self.versions.get(index))
+    }
+
+    /// Returns the remembered patches, the oldest first.
+    #[must_use]
+    pub fn history(&self) -> impl ExactSizeIterator<Item = &PatchEntry> {
+        self.history.iter()
+    }
+
+    /// Returns the outcome of the first patch with an identifier.
+    #[must_use]
+    pub fn outcome(&self, id: &PatchId) -> Option<&PatchOutcome> {
+        self.entry(id).map(|entry| &entry.outcome)
+    }
+
+    /// Returns what a patch that has been read from the log means to its
+    /// author; none if no patch with its identifier is remembered.
+    #[must_use]
+    pub fn answer(&self, patch: &ConfigPatch) -> Option<PatchAnswer> {
+        let entry = self.entry(&patch.id)?;
+        let outcome = entry.outcome.clone();
+        Some(if entry.fingerprint == fingerprint(patch) {
+            PatchAnswer::Repeated(outcome)
+        } else {
+            PatchAnswer::Conflict { other: outcome }
+        })
+    }
+
+    /// Returns the offset that is applied next.
+    #[must_use]
+    pub const fn next_offset(&self) -> LogOffset {
+        self.next_offset
+    }
+
+    /// Returns the state for a snapshot; earlier versions are left out.
+    #[must_use]
+    pub fn snapshot(&self) -> ConfigSnapshot {
+        ConfigSnapshot {
+            next_offset: self.next_offset,
+            config: CellConfig::clone(&self.current),
+            history: self.history.iter().cloned().collect(),
+            retired_keys: self.retired.iter().cloned().collect(),
+        }
+    }
+
+    /// Restores the state of a snapshot.
+    ///
+    /// # Errors
+    /// Fails if the snapshot contradicts itself.
+    pub fn from_snapshot(snapshot: ConfigSnapshot) -> Result<Self, ConfigSnapshotError> {
+        Self::try_from(snapshot)
+    }
+
+    fn entry(&self, id: &PatchId) -> Option<&PatchEntry> {
+        let number = self.numbers.get(id)?.checked_sub(self.forgotten)?;
+        self.history.get(usize::try_from(number).ok()?)
+    }
+
+    fn apply_patch(&mut self, patch: &ConfigPatch) -> PatchAnswer {
+        if let Some(answer) = self.answer(patch) {
+            return answer;
+        }
+        let outcome = match patched_config(&self.current, &self.retired_set, patch) {
+            Ok(config) => self.accept(config, patch),
+            Err(reason) => PatchOutcome::Rejected {
+                current: self.current.version,
+                reason,
+            },
+        };
+        self.remember(PatchEntry {
+            id: patch.id.clone(),
+            author: remembered_author(patch, &outcome),
+            fingerprint: fingerprint(patch),
+            outcome: outcome.clone(),
+        });
+        PatchAnswer::First(outcome)
+    }
+
+    fn accept(&mut self, mut config: CellConfig, patch: &ConfigPatch) -> PatchOutcome {
+        config.version = self.current.version.next();
+        self.current = Arc::new(config);
+        self.versions.push_back(Arc::clone(&self.current));
+        if self.versions.len() > MAX_VERSIONS {
+            self.versions.pop_front();
+        }
+        for operation in &patch.operations {
+            if let PatchOperation::WithdrawKey { key } = operation {
+                self.retire(key.clone());
+            }
+        }
+        PatchOutcome::Accepted {
+            version: self.current.version,
+        }
+    }
+
+    fn retire(&mut self, key: KeyId) {
+        self.retired_set.insert(key.clone());
+        self.retired.push_back(key);
+        if self.retired.len() > MAX_RETIRED_KEYS
+            && let Some(oldest) = self.retired.pop_front()
+        {
+            self.retired_set.remove(&oldest);
+        }
+    }
+
+    fn remember(&mut self, entry: PatchEntry) {
+        let number = self.forgotten.saturating_add(self.history.len() as u64);
+        self.numbers.insert(entry.id.clone(), number);
+        self.history.push_back(entry);
+        if self.history.len() > MAX_HISTORY
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.numbers.remove(&oldest.id);
+            self.forgotten = self.forgotten.saturating_add(1);
+        }
+    }
+}
+
+/// The state of a [`ConfigFold`] as it is published.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigSnapshot {
+    /// The offset that is applied next.
+    pub next_offset: LogOffset,
+    /// The configuration in force.
+    pub config: CellConfig,
+    /// The remembered patches, the oldest first.
+    pub history: Vec<PatchEntry>,
+    /// Withdrawn keys, the oldest first.
+    pub retired_keys: Vec<KeyId>,
+}
+
+/// The reason why a snapshot of the configuration is not usable.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum ConfigSnapshotError {
+    /// The configuration breaks a rule.
+    #[display("the configuration of the snapshot is not valid: {reason}")]
+    Config {
+        /// The broken rule.
+        reason: RejectReason,
+    },
+    /// A patch is listed twice.
+    #[display("patch {id} is listed twice; hint: load another snapshot")]
+    RepeatedPatch {
+        /// The patch.
+        id: PatchId,
+    },
+    /// A withdrawn key is listed twice or is in force.
+    #[display("withdrawn key {key} is listed twice or in force; hint: load another snapshot")]
+    RepeatedKey {
+        /// The key.
+        key: KeyId,
+    },
+    /// A list is longer than the fold keeps.
+    #[display("the snapshot has too many entries; hint: load another snapshot")]
+    TooLong,
+}
+
+impl From<&ConfigFold> for ConfigSnapshot {
+    fn from(fold: &ConfigFold) -> Self {
+        fold.snapshot()
+    }
+}
+
+impl TryFrom<ConfigSnapshot> for ConfigFold {
+    type Error = ConfigSnapshotError;
+
+    fn try_from(snapshot: ConfigSnapshot) -> Result<Self, ConfigSnapshotError> {
+        check_config(&snapshot.config).map_err(|reason| ConfigSnapshotError::Config { reason })?;
+        if snapshot.history.len() > MAX_HISTORY || snapshot.retired_keys.len() > MAX_RETIRED_KEYS {
+            return Err(ConfigSnapshotError::TooLong);
+        }
+        let current = Arc::new(snapshot.config);
+        let mut fold = Self {
+            next_offset: snapshot.next_offset,
+            versions: VecDeque::from([Arc::clone(&current)]),
+            current,
+            ..Self::default()
+        };
+        for entry in snapshot.history {
+            if fold.numbers.contains_key(&entry.id) {
+                return Err(ConfigSnapshotError::RepeatedPatch { id: entry.id });
+            }
+            fold.remember(entry);
+        }
+        for key in snapshot.retired_keys {
+            if fold.retired_set.contains(&key) || fold.current.keys.contains_key(&key) {
+                return Err(ConfigSnapshotError::RepeatedKey { key });
+            }
+            fold.retire(key);
+        }
+        Ok(fold)
+    }
+}
+
+/// Returns the author for the history; an overlong one is not kept.
+fn remembered_author(patch: &ConfigPatch, outcome: &PatchOutcome) -> String {
+    match outcome {
+        PatchOutcome::Rejected {
+            reason: RejectReason::BadAuthor,
+            ..
+        } => String::new(),
+        _ => patch.author.clone(),
+    }
+}
+
+/// Identifies the content of a patch.
+fn fingerprint(patch: &ConfigPatch) -> u64 {
+    let text = serde_json::to_string(patch).unwrap_or_default();
+    stable_hash(&text)
+}
--- a/crates/pimentochute-state/src/lib.rs
+++ b/crates/pimentochute-state/src/lib.rs
@@ -1,12 +1,34 @@
 //! The state that log order decides: the configuration, and the jobs,
 //! placements and owners of a data centre. Pure functions without I/O.
 
+mod allotment;
+mod cell;
 mod config;
+mod config_check;
+mod config_fold;
+mod decode;
+mod outcome;
+mod patch;
 mod record;
 
+pub use allotment::{allotment, slice_of};
+pub use cell::{
+    CellFold, CellSnapshot, JobOutcome, JobPhase, JobState, JobWire, RetryCount, SliceOwner,
+    SliceState, SliceWire, SnapshotError, TaskPhase, TaskState, TeamState, TeamWire, WorkerState,
+    WorkerWire, limits,
+};
 pub use config::{
     CellConfig, ConfigPatch, ConfigRecord, KeyConfig, PatchOperation, QueueConfig, TeamConfig,
 };
+pub use config_check::{
+    MAX_AUTHOR_BYTES, MAX_KEYS, MAX_OPERATIONS, MAX_QUEUE_TEAMS, MAX_QUEUES, MAX_SHARE, MAX_TEAMS,
+};
+pub use config_fold::{
+    ConfigFold, ConfigSnapshot, ConfigSnapshotError, MAX_HISTORY, MAX_RETIRED_KEYS, MAX_VERSIONS,
+};
+pub use decode::{MAX_PAYLOAD_BYTES, RecordError};
+pub use outcome::{AttemptSequel, CellEffect, InvalidReason, RecordOutcome};
+pub use patch::{PatchAnswer, PatchEntry, PatchOutcome, RejectReason};
 pub use record::{
     CellRecord, EndReason, JobSpec, RecordBatch, RecordTag, RefuseReason, StampedRecord,
     TaskPlacement, WorkerHealth,
