--- /dev/null
+++ b/crates/pimentochute-route/src/stats.rs
@@ -0,0 +1,38 @@
+//! Counters of the router.
+
+/// Counts since the router was created.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouterStats {
+    /// Requests that were neither refused on arrival nor evicted later.
+    pub accepted: u64,
+    /// Requests with an endpoint's answer.
+    pub answered: u64,
+    /// Requests refused because of load or a team's limit.
+    pub overloaded: u64,
+    /// Requests refused because the host is stopping.
+    pub draining: u64,
+    /// Requests refused because no endpoint takes them.
+    pub no_endpoint: u64,
+    /// Requests whose deadline passed before they were sent.
+    pub expired: u64,
+    /// Requests that an endpoint refused before running them.
+    pub refused: u64,
+    /// Requests with an unknown outcome.
+    pub unknown: u64,
+    /// Requests whose caller went away.
+    pub abandoned: u64,
+    /// Attempts sent to endpoints.
+    pub sent: u64,
+    /// Requests forwarded to a peer.
+    pub forwarded: u64,
+    /// Retries of attempts that were sent.
+    pub retried: u64,
+    /// Retries that the retry budget did not allow.
+    pub retries_denied: u64,
+    /// Connections opened.
+    pub connects: u64,
+    /// Connects that failed.
+    pub connect_failures: u64,
+    /// Probes of idle connections that failed.
+    pub probe_failures: u64,
+}
