Add settings and the table of heartbeats

Cause: the daemon has no settings, and the control plane needs to know which entry hosts are live. Change: settings with defaults and ranges for every timing of the design; check_settings takes each faulty value out and reads on, so that every fault is listed. PeerTable keeps the last heartbeat per host by local time. Conclusion: other parts can build on Settings and PeerTable.

--- /dev/null
+++ b/crates/pimentochute-server/src/peer_table.rs
@@ -0,0 +1,186 @@
+//! The last heartbeats of other entry hosts.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use derive_more::{Display, Error};
+use pimentochute_base::{DataCentreName, HostName, MilliSpan, MilliTime, ServiceName};
+use pimentochute_route::PeerLoad;
+
+use crate::settings::{DataCentreSettings, Settings};
+use crate::{Heartbeat, PeerStatus};
+
+/// The last heartbeat of every entry host of the cell.
+///
+/// Times are local monotonic times. This host always counts as live.
+pub struct PeerTable {
+    own: HostName,
+    own_centre: DataCentreName,
+    centres: Vec<DataCentreSettings>,
+    live: MilliSpan,
+    started: MilliTime,
+    beats: Mutex<HashMap<HostName, PeerStatus>>,
+}
+
+impl PeerTable {
+    /// Creates a table without heartbeats at the time `now`.
+    #[must_use]
+    pub fn new(settings: &Settings, now: MilliTime) -> Self {
+        Self {
+            own: settings.host.clone(),
+            own_centre: settings.data_centre.clone(),
+            centres: settings.data_centres.clone(),
+            live: settings.peers.live_ms,
+            started: now,
+            beats: Mutex::default(),
+        }
+    }
+
+    /// Takes a heartbeat in.
+    ///
+    /// A heartbeat of an earlier run of a live host is ignored: it was
+    /// delayed. After a silence any run is taken, since the clock that numbers
+    /// the runs may have been set back.
+    ///
+    /// # Errors
+    /// Fails if the settings do not name the host in that data centre.
+    pub fn record(&self, beat: Heartbeat, now: MilliTime) -> Result<(), BeatFault> {
+        if beat.host == self.own {
+            return Err(BeatFault::OwnName);
+        }
+        let known = self.hosts_of(&beat.data_centre).contains(&beat.host);
+        if !known {
+            return Err(BeatFault::UnknownHost { host: beat.host });
+        }
+        let mut beats = self.beats();
+        let delayed = beats.get(&beat.host).is_some_and(|last| {
+            last.beat.incarnation > beat.incarnation && now.since(last.received) < self.live
+        });
+        if !delayed {
+            let host = beat.host.clone();
+            let received = now;
+            beats.insert(host, PeerStatus { beat, received });
+        }
+        Ok(())
+    }
+
+    /// Returns the last heartbeat of a host and when it was received.
+    #[must_use]
+    pub fn status(&self, host: &HostName) -> Option<PeerStatus> {
+        self.beats().get(host).cloned()
+    }
+
+    /// Returns the time since the last heartbeat of a host, or since the table
+    /// was created if there was none. Zero for this host.
+    #[must_use]
+    pub fn silence(&self, host: &HostName, now: MilliTime) -> MilliSpan {
+        if *host == self.own {
+            return MilliSpan::ZERO;
+        }
+        let beats = self.beats();
+        let last = beats.get(host).map_or(self.started, |s| s.received);
+        now.since(last)
+    }
+
+    /// Returns the time since any other host was heard, or since the table was
+    /// created.
+    #[must_use]
+    pub fn shortest_silence(&self, now: MilliTime) -> MilliSpan {
+        let beats = self.beats();
+        let last = beats.values().map(|s| s.received).max();
+        now.since(last.unwrap_or(self.started))
+    }
+
+    /// Returns the hosts of this data centre that were heard within
+    /// `peers.live_ms`, this host included, in the order of the settings.
+    #[must_use]
+    pub fn live_hosts(&self, now: MilliTime) -> Vec<HostName> {
+        self.live_hosts_of(&self.own_centre, now)
+    }
+
+    /// Returns the hosts of a data centre that were heard within
+    /// `peers.live_ms`, in the order of the settings.
+    #[must_use]
+    pub fn live_hosts_of(&self, centre: &DataCentreName, now: MilliTime) -> Vec<HostName> {
+        let mut hosts = self.hosts_of(centre);
+        hosts.retain(|host| self.is_live(host, now));
+        hosts
+    }
+
+    /// Returns the live hosts of this data centre that are not stopping, this
+    /// host included.
+    #[must_use]
+    pub fn staying_hosts(&self, now: MilliTime) -> Vec<HostName> {
+        let mut hosts = self.live_hosts(now);
+        let beats = self.beats();
+        hosts.retain(|host| beats.get(host).is_none_or(|s| !s.beat.draining));
+        hosts
+    }
+
+    /// Tells whether a host was heard within `peers.live_ms`.
+    #[must_use]
+    pub fn is_live(&self, host: &HostName, now: MilliTime) -> bool {
+        if *host == self.own {
+            return true;
+        }
+        let beats = self.beats();
+        let status = beats.get(host);
+        status.is_some_and(|s| now.since(s.received) < self.live)
+    }
+
+    /// Returns all hosts of a data centre, in the order of the settings.
+    #[must_use]
+    pub fn hosts_of(&self, centre: &DataCentreName) -> Vec<HostName> {
+        let centre = self.centres.iter().find(|c| c.name == *centre);
+        let hosts = centre.map_or(&[][..], |c| c.entry_hosts.as_slice());
+        hosts.iter().map(|host| host.name.clone()).collect()
+    }
+
+    /// Returns all data centres, in the order of the settings.
+    #[must_use]
+    pub fn centres(&self) -> Vec<DataCentreName> {
+        self.centres.iter().map(|c| c.name.clone()).collect()
+    }
+
+    /// Returns what the other staying hosts of this data centre have free for
+    /// a service.
+    #[must_use]
+    pub fn loads(&self, service: &ServiceName, now: MilliTime) -> Vec<PeerLoad> {
+        let hosts = self.staying_hosts(now);
+        let beats = self.beats();
+        let statuses = hosts.iter().filter_map(|host| beats.get(host));
+        let loads = statuses.flat_map(|status| {
+            let loads = status.beat.services.iter();
+            let of_service = loads.filter(|load| load.service == *service);
+            of_service.map(|load| PeerLoad {
+                host: status.beat.host.clone(),
+                free_slots: load.free_slots,
+                waiting: load.waiting,
+            })
+        });
+        loads.collect()
+    }
+
+    /// A panic while the lock was held leaves whole heartbeats behind, so the
+    /// table stays usable.
+    fn beats(&self) -> MutexGuard<'_, HashMap<HostName, PeerStatus>> {
+        self.beats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The reason why a heartbeat is not taken in.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum BeatFault {
+    /// The heartbeat bears the name of this host.
+    #[display(
+        "another process uses the name of this host; hint: compare the settings of the hosts"
+    )]
+    OwnName,
+    /// The settings do not name the host in that data centre.
+    #[display("host {host} is not in the settings; hint: give every host the same data_centres")]
+    UnknownHost {
+        /// The host.
+        #[error(not(source))]
+        host: HostName,
+    },
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/settings/relations.rs
@@ -0,0 +1,200 @@
+//! Faults between several values of the settings.
+
+use std::collections::BTreeSet;
+
+use pimentochute_base::MilliSpan;
+
+use super::{Settings, SettingsFault};
+
+/// The least bytes of the key that entry hosts share.
+const MIN_PEER_KEY_BYTES: usize = 32;
+
+/// Returns the faults of values that do not fit each other.
+pub(super) fn relation_faults(settings: &Settings) -> Vec<SettingsFault> {
+    let mut faults = Vec::new();
+    check_places(settings, &mut faults);
+    check_names(settings, &mut faults);
+    check_keys(settings, &mut faults);
+    check_timings(settings, &mut faults);
+    faults
+}
+
+fn fault(path: &str, found: &dyn ToString, allowed: impl Into<String>) -> SettingsFault {
+    SettingsFault {
+        path: path.to_owned(),
+        found: found.to_string(),
+        allowed: allowed.into(),
+    }
+}
+
+fn check_places(settings: &Settings, faults: &mut Vec<SettingsFault>) {
+    if settings.data_centres.is_empty() {
+        faults.push(fault("data_centres", &"none", "at least one data centre"));
+        return;
+    }
+    for (index, centre) in settings.data_centres.iter().enumerate() {
+        if centre.entry_hosts.is_empty() {
+            let path = format!("data_centres[{index}].entry_hosts");
+            faults.push(fault(&path, &"none", "at least one entry host"));
+        }
+    }
+    let known = |c: &super::DataCentreSettings| c.name == settings.data_centre;
+    if !settings.data_centres.iter().any(known) {
+        let names: Vec<&str> = settings
+            .data_centres
+            .iter()
+            .map(|c| c.name.as_str())
+            .collect();
+        let allowed = format!("one of data_centres: {}", names.join(", "));
+        faults.push(fault("data_centre", &settings.data_centre, allowed));
+    } else if !settings
+        .local_hosts()
+        .iter()
+        .any(|h| h.name == settings.host)
+    {
+        let hosts = settings.local_hosts().iter();
+        let names: Vec<&str> = hosts.map(|h| h.name.as_str()).collect();
+        let allowed = format!("an entry host of the data centre: {}", names.join(", "));
+        faults.push(fault("host", &settings.host, allowed));
+    }
+}
+
+fn check_names(settings: &Settings, faults: &mut Vec<SettingsFault>) {
+    let mut centres = BTreeSet::new();
+    let mut hosts = BTreeSet::new();
+    for (index, centre) in settings.data_centres.iter().enumerate() {
+        let path = format!("data_centres[{index}]");
+        if !centres.insert(&centre.name) {
+            let path = format!("{path}.name");
+            faults.push(fault(&path, &centre.name, "a name that is used once"));
+        }
+        for (position, host) in centre.entry_hosts.iter().enumerate() {
+            if !hosts.insert(&host.name) {
+                let path = format!("{path}.entry_hosts[{position}].name");
+                faults.push(fault(&path, &host.name, "a name that is used once"));
+            }
+        }
+    }
+}
+
+fn check_keys(settings: &Settings, faults: &mut Vec<SettingsFault>) {
+    let key = settings.peer_key.reveal();
+    if key.len() < MIN_PEER_KEY_BYTES {
+        let found = format!("{} bytes", key.len());
+        let allowed = format!("at least {MIN_PEER_KEY_BYTES} random bytes");
+        faults.push(fault("peer_key", &found, allowed));
+    } else if !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let allowed = "visible ASCII characters, as it is sent in a header";
+        faults.push(fault("peer_key", &"other characters", allowed));
+    }
+    let mut names = BTreeSet::new();
+    for (index, operator) in settings.operator_keys.iter().enumerate() {
+        let path = format!("operator_keys[{index}].name");
+        if operator.name.is_empty() || operator.name.chars().any(char::is_control) {
+            let found = format!("{:?}", operator.name);
+            faults.push(fault(&path, &found, "a name without control characters"));
+        } else if !names.insert(&operator.name) {
+            faults.push(fault(&path, &operator.name, "a name that is used once"));
+        }
+    }
+}
+
+/// A span that has to fit into another one a number of times.
+struct SpanOrder {
+    path: &'static str,
+    span: MilliSpan,
+    times: u64,
+    bound_path: &'static str,
+    bound: MilliSpan,
+}
+
+impl SpanOrder {
+    fn fault(&self) -> Option<SettingsFault> {
+        let most = MilliSpan::new(self.bound.as_millis() / self.times);
+        let allowed = match self.times {
+            1 => format!("at most {} ({most})", self.bound_path),
+            times => format!("at most {} / {times} ({most})", self.bound_path),
+        };
+        (self.span > most).then(|| fault(self.path, &self.span, allowed))
+    }
+}
+
+fn check_timings(settings: &Settings, faults: &mut Vec<SettingsFault>) {
+    let orders = lease_orders(settings).into_iter();
+    let orders = orders.chain(limit_orders(settings));
+    faults.extend(orders.filter_map(|order| order.fault()));
+    let http = &settings.http;
+    if http.max_body_bytes > http.max_buffered_bytes {
+        let allowed = format!(
+            "at most http.max_buffered_bytes ({})",
+            http.max_buffered_bytes
+        );
+        faults.push(fault("http.max_body_bytes", &http.max_body_bytes, allowed));
+    }
+}
+
+/// One lost renewal or heartbeat must not end a lease or a host's liveness,
+/// and a worker is taken over between its two leases: hence the halves.
+fn lease_orders(settings: &Settings) -> [SpanOrder; 4] {
+    let workers = &settings.workers;
+    let peers = &settings.peers;
+    [
+        SpanOrder {
+            path: "workers.renew_ms",
+            span: workers.renew_ms,
+            times: 2,
+            bound_path: "workers.control_lease_ms",
+            bound: workers.control_lease_ms,
+        },
+        SpanOrder {
+            path: "workers.control_lease_ms",
+            span: workers.control_lease_ms,
+            times: 2,
+            bound_path: "workers.task_lease_ms",
+            bound: workers.task_lease_ms,
+        },
+        SpanOrder {
+            path: "peers.heartbeat_ms",
+            span: peers.heartbeat_ms,
+            times: 2,
+            bound_path: "peers.live_ms",
+            bound: peers.live_ms,
+        },
+        SpanOrder {
+            path: "peers.live_ms",
+            span: peers.live_ms,
+            times: 1,
+            bound_path: "slices.takeover_ms",
+            bound: settings.slices.takeover_ms,
+        },
+    ]
+}
+
+fn limit_orders(settings: &Settings) -> [SpanOrder; 3] {
+    let requests = &settings.requests;
+    let drain = &settings.drain;
+    let supervisor = &settings.supervisor;
+    [
+        SpanOrder {
+            path: "requests.default_deadline_ms",
+            span: requests.default_deadline_ms,
+            times: 1,
+            bound_path: "requests.max_deadline_ms",
+            bound: requests.max_deadline_ms,
+        },
+        SpanOrder {
+            path: "drain.drain_delay_ms",
+            span: drain.drain_delay_ms,
+            times: 1,
+            bound_path: "drain.drain_limit_ms",
+            bound: drain.drain_limit_ms,
+        },
+        SpanOrder {
+            path: "supervisor.backoff_ms",
+            span: supervisor.backoff_ms,
+            times: 1,
+            bound_path: "supervisor.max_backoff_ms",
+            bound: supervisor.max_backoff_ms,
+        },
+    ]
+}
