Recognise repeated records and test the fold of a cell

Cause: a record whose append was repeated could be valid a second time: the loss of a worker that has come back, or a placement or submission that was reported as invalid before.

Change: the fold keeps the tags of each writer in a bounded window and gives a repeated one the reason RepeatedRecord, whatever its first outcome was. The cases and properties of the cell are in tests/tests/state_cell.

--- a/crates/pimentochute-state/src/cell/fold.rs
+++ b/crates/pimentochute-state/src/cell/fold.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use super::owner::{SliceOwner, SliceState, TeamState};
+use super::writer::WriterSet;
 use super::{CellSnapshot, JobState, SnapshotError, TaskState, WorkerState};
 use crate::decode::next_record;
 use crate::{
@@ -53,6 +54,8 @@
     pub(super) teams: BTreeMap<TeamName, TeamState>,
     /// The slices; at least one, and their number never changes.
     pub(super) slices: Vec<SliceState>,
+    /// The tags that were read.
+    pub(super) writers: WriterSet,
     /// The jobs that the record at hand ended; empty between records.
     pub(super) ended_now: SmallVec<[JobId; 1]>,
     /// The jobs that the record at hand made the fold forget; empty between
@@ -158,16 +161,9 @@
 
     /// Returns the known workers by name, lost ones included.
     #[must_use]
-    pub fn workers(&self) -> impl ExactSizeIterator<Item = &WorkerState> {
-        // Every slot of the index is in the arena; the arena's order would
-        // depend on the workers that were forgotten.
-        let mut known = Vec::with_capacity(self.worker_slots.len());
-        known.extend(
-            self.worker_slots
-                .values()
-                .filter_map(|slot| self.workers.get(*slot)),
-        );
-        known.into_iter()
+    pub fn workers(&self) -> impl DoubleEndedIterator<Item = &WorkerState> {
+        let slots = self.worker_slots.values();
+        slots.filter_map(|slot| self.workers.get(*slot))
     }
 
     /// Returns the live attempts on a worker.
@@ -238,7 +234,11 @@
     }
 
     fn apply_record(&mut self, stamped: StampedRecord) -> RecordOutcome {
-        let effect = self.dispatch(stamped.record);
+        let effect = if self.writers.admit(&stamped.tag, self.next_offset) {
+            self.dispatch(stamped.record)
+        } else {
+            Err(InvalidReason::RepeatedRecord)
+        };
         RecordOutcome {
             tag: stamped.tag,
             effect,
--- a/crates/pimentochute-state/src/cell/limits.rs
+++ b/crates/pimentochute-state/src/cell/limits.rs
@@ -32,6 +32,14 @@
 /// late record does not bring one back.
 pub const MAX_PAST_INCARNATIONS: usize = 8;
 
+/// The most runs of hosts whose records are told from repetitions; the one
+/// that was silent longest is forgotten first.
+pub const MAX_WRITERS: usize = 256;
+
+/// The most records of a host that are remembered one by one because an
+/// earlier one is missing. A record that is overtaken by more has no effect.
+pub const MAX_LATE_RECORDS: usize = 4_096;
+
 /// How long an ended job is remembered.
 pub const ENDED_JOB_KEEP: MilliSpan = MilliSpan::new(48 * 60 * 60 * 1000);
 
--- a/crates/pimentochute-state/src/cell/mod.rs
+++ b/crates/pimentochute-state/src/cell/mod.rs
@@ -9,11 +9,15 @@
 mod restore;
 mod snapshot;
 mod submit;
+mod task;
 mod worker;
+mod writer;
 
 pub use fold::CellFold;
-pub use job::{JobOutcome, JobPhase, JobState, RetryCount, TaskPhase, TaskState};
+pub use job::{JobOutcome, JobPhase, JobState};
 pub use owner::{SliceOwner, SliceState, TeamState};
 pub use restore::SnapshotError;
 pub use snapshot::{CellSnapshot, JobWire, SliceWire, TeamWire, WorkerWire};
+pub use task::{RetryCount, TaskPhase, TaskState};
 pub use worker::WorkerState;
+pub use writer::WriterWire;
--- a/crates/pimentochute-state/src/cell/restore.rs
+++ b/crates/pimentochute-state/src/cell/restore.rs
@@ -3,14 +3,15 @@
 use std::collections::BTreeSet;
 
 use derive_more::{Display, Error};
-use pimentochute_base::{AttemptRef, JobId, ResourceAmount, TeamName, WorkerName};
+use pimentochute_base::{AttemptRef, JobId, ResourceAmount, TeamName, WorkKind, WorkerName};
 use smallvec::SmallVec;
 
 use super::fold::{CellFold, JobSlot};
 use super::limits::{MAX_ENDED_JOBS, MAX_FAILED_JOBS, MAX_LOST_WORKERS, MAX_PAST_INCARNATIONS};
 use super::owner::{SliceState, TeamState};
 use super::snapshot::{CellSnapshot, JobWire, SliceWire, TeamWire, WorkerWire};
-use super::{JobState, WorkerState};
+use super::writer::WriterSet;
+use super::{JobState, TaskPhase, WorkerState};
 use crate::EndReason;
 
 /// The reason why a snapshot of a cell is not usable.
@@ -70,6 +71,7 @@
             latest: snapshot.latest,
             next_number: snapshot.next_number,
             slices: snapshot.slices.into_iter().map(SliceState::from).collect(),
+            writers: WriterSet::try_from(snapshot.writers)?,
             ..Self::default()
         };
         for team in snapshot.teams {
@@ -172,17 +174,20 @@
     if job.has_ended() {
         return job.live == 0 && (job.tasks.is_empty() || count == Some(job.spec.tasks));
     }
+    // Only a gang is broken, and only until its last placed task has ended.
+    let sound = job.broken.is_none() || (job.spec.kind == WorkKind::Gang && job.live > 0);
     let succeeded = job.tasks.iter().filter(|task| {
-        use super::TaskPhase::Done;
         matches!(
             task.phase,
-            Done {
+            TaskPhase::Done {
                 reason: EndReason::Succeeded,
                 ..
             }
         )
     });
-    count == Some(job.spec.tasks) && u32::try_from(succeeded.count()).ok() == Some(job.succeeded)
+    sound
+        && count == Some(job.spec.tasks)
+        && u32::try_from(succeeded.count()).ok() == Some(job.succeeded)
 }
 
 impl From<SliceWire> for SliceState {
--- a/crates/pimentochute-state/src/cell/snapshot.rs
+++ b/crates/pimentochute-state/src/cell/snapshot.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fold::CellFold;
-use super::{JobPhase, JobState, RetryCount, SliceOwner, TaskState, WorkerState};
+use super::{JobPhase, JobState, RetryCount, SliceOwner, TaskState, WorkerState, WriterWire};
 use crate::{EndReason, JobSpec, WorkerHealth};
 
 /// The state of a [`CellFold`] as it is published. Sums, counts and indexes
@@ -28,6 +28,8 @@
     /// The workers that are not lost by name, then the lost ones, the longest
     /// lost first.
     pub workers: Vec<WorkerWire>,
+    /// The writers by host and incarnation.
+    pub writers: Vec<WriterWire>,
     /// The jobs that have not ended by number.
     pub active: Vec<JobWire>,
     /// The jobs that have ended, in the order of their ends.
@@ -119,6 +121,7 @@
             slices: fold.slices.iter().map(SliceWire::from).collect(),
             teams: fold.teams().map(TeamWire::from).collect(),
             workers: present.chain(lost).map(WorkerWire::from).collect(),
+            writers: Vec::from(&fold.writers),
             active: active.into_iter().map(JobWire::from).collect(),
             ended: ended.map(JobWire::from).collect(),
         }
--- /dev/null
+++ b/crates/pimentochute-state/src/cell/writer.rs
@@ -0,0 +1,123 @@
+//! The recognition of records that are appended twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pimentochute_base::{HostIncarnation, HostName, LogOffset};
+use serde::{Deserialize, Serialize};
+
+use super::limits::{MAX_LATE_RECORDS, MAX_WRITERS};
+use crate::RecordTag;
+
+/// The tags that were read from the stream.
+///
+/// A late repetition can be valid again: the loss of a worker that has come
+/// back, or a submission that was refused while the cell was full. The writer
+/// has been told the first outcome, so that a repetition must do nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct WriterSet {
+    /// The writers that were met most recently.
+    writers: BTreeMap<(HostName, HostIncarnation), WriterState>,
+}
+
+/// The sequence numbers of one run of a host.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct WriterState {
+    /// Every smaller number counts as read.
+    floor: u64,
+    /// The numbers that were read and are at least `floor`. The floor itself
+    /// is not among them.
+    above: BTreeSet<u64>,
+    /// The offset of the writer's last record.
+    last: LogOffset,
+}
+
+impl WriterSet {
+    /// Notes a tag; tells whether it is new.
+    pub(super) fn admit(&mut self, tag: &RecordTag, offset: LogOffset) -> bool {
+        let key = (tag.host.clone(), tag.incarnation);
+        let writer = self.writers.entry(key).or_default();
+        writer.last = offset;
+        let fresh = tag.sequence >= writer.floor && writer.above.insert(tag.sequence);
+        writer.compact();
+        self.forget_oldest();
+        fresh
+    }
+
+    fn forget_oldest(&mut self) {
+        if self.writers.len() <= MAX_WRITERS {
+            return;
+        }
+        let oldest = self.writers.iter().min_by_key(|(_, writer)| writer.last);
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.writers.remove(&key);
+        }
+    }
+}
+
+impl WriterState {
+    /// Moves the floor over numbers without a gap, and over the oldest gap
+    /// when too many numbers are kept.
+    fn compact(&mut self) {
+        if self.above.len() > MAX_LATE_RECORDS
+            && let Some(lowest) = self.above.pop_first()
+        {
+            self.floor = lowest.saturating_add(1);
+        }
+        while self.above.remove(&self.floor) {
+            self.floor = self.floor.saturating_add(1);
+        }
+    }
+}
+
+/// A writer in a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WriterWire {
+    /// The host.
+    pub host: HostName,
+    /// The run of its process.
+    pub incarnation: HostIncarnation,
+    /// Every smaller sequence number was read.
+    pub floor: u64,
+    /// The larger numbers that were read.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub above: Vec<u64>,
+    /// The offset of its last record.
+    pub last: LogOffset,
+}
+
+impl From<&WriterSet> for Vec<WriterWire> {
+    fn from(set: &WriterSet) -> Self {
+        let writers = set.writers.iter();
+        let wires = writers.map(|((host, incarnation), writer)| WriterWire {
+            host: host.clone(),
+            incarnation: *incarnation,
+            floor: writer.floor,
+            above: writer.above.iter().copied().collect(),
+            last: writer.last,
+        });
+        wires.collect()
+    }
+}
+
+impl TryFrom<Vec<WriterWire>> for WriterSet {
+    type Error = super::SnapshotError;
+
+    fn try_from(wires: Vec<WriterWire>) -> Result<Self, Self::Error> {
+        let mut set = Self::default();
+        for wire in wires {
+            let fits = wire.above.len() <= MAX_LATE_RECORDS
+                && wire.above.iter().all(|number| *number > wire.floor);
+            let state = WriterState {
+                floor: wire.floor,
+                above: wire.above.into_iter().collect(),
+                last: wire.last,
+            };
+            let known = set.writers.insert((wire.host, wire.incarnation), state);
+            if !fits || known.is_some() || set.writers.len() > MAX_WRITERS {
+                return Err(super::SnapshotError::TooLong { what: "writers" });
+            }
+        }
+        Ok(set)
+    }
+}
--- a/crates/pimentochute-state/src/lib.rs
+++ b/crates/pimentochute-state/src/lib.rs
@@ -15,7 +15,7 @@
 pub use cell::{
     CellFold, CellSnapshot, JobOutcome, JobPhase, JobState, JobWire, RetryCount, SliceOwner,
     SliceState, SliceWire, SnapshotError, TaskPhase, TaskState, TeamState, TeamWire, WorkerState,
-    WorkerWire, limits,
+    WorkerWire, WriterWire, limits,
 };
 pub use config::{
     CellConfig, ConfigPatch, ConfigRecord, KeyConfig, PatchOperation, QueueConfig, TeamConfig,
--- a/crates/pimentochute-state/src/outcome.rs
+++ b/crates/pimentochute-state/src/outcome.rs
@@ -137,6 +137,10 @@
 /// The reason why a record changed nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum InvalidReason {
+    /// A record with the same tag was read before, or so many later records
+    /// of the writer that it can no longer be told.
+    #[display("the record was read before; hint: its first reading tells the outcome")]
+    RepeatedRecord,
     /// The same job was submitted before.
     #[display("the job was submitted before; hint: nothing needs to be done")]
     RepeatedSubmission,
--- /dev/null
+++ b/tests/tests/state_cell/bounds.rs
@@ -0,0 +1,58 @@
+//! Ended jobs and other bounded lists.
+
+use pimentochute_base::{JobId, WorkKind};
+use pimentochute_state::{CellRecord, limits};
+
+use super::support::{CellDriver, job_spec, seen, worker};
+
+fn end_jobs(driver: &mut CellDriver, prefix: &str, count: usize) -> Vec<JobId> {
+    let jobs = (0..count).map(|index| {
+        let job = driver.submit(&job_spec(
+            "a",
+            &format!("{prefix}{index}"),
+            WorkKind::Batch,
+            1,
+        ));
+        driver.valid(driver.cancelled(job));
+        job
+    });
+    jobs.collect()
+}
+
+/// Guards against a host with a wrong clock making the cell forget recent
+/// jobs, whose repeated submissions would then run again.
+#[test]
+fn old_ended_jobs_are_forgotten_down_to_a_minimum() {
+    let mut driver = CellDriver::ready();
+    let jobs = end_jobs(&mut driver, "k", limits::MIN_ENDED_JOBS + 5);
+    assert_eq!(driver.fold.jobs().count(), jobs.len());
+    driver.now += limits::ENDED_JOB_KEEP.as_millis() + 1;
+    let spec = job_spec("b", "late", WorkKind::Batch, 1);
+    let at = driver.at();
+    let outcome = driver.outcome(CellRecord::JobSubmitted { spec, at });
+    assert_eq!(outcome.dropped.as_slice(), &jobs[..5]);
+    assert!(driver.fold.job(jobs[4]).is_none());
+    assert!(driver.fold.job(jobs[5]).is_some());
+}
+
+#[test]
+fn number_of_ended_jobs_is_bounded() {
+    let mut driver = CellDriver::ready();
+    let jobs = end_jobs(&mut driver, "k", limits::MAX_ENDED_JOBS + 1);
+    assert!(driver.fold.job(jobs[0]).is_none());
+    assert!(driver.fold.job(jobs[1]).is_some());
+    assert_eq!(driver.fold.jobs().count(), limits::MAX_ENDED_JOBS);
+}
+
+/// Guards against workers that are replaced every day filling the memory.
+#[test]
+fn number_of_lost_workers_is_bounded() {
+    let mut driver = CellDriver::ready();
+    for index in 0..=limits::MAX_LOST_WORKERS {
+        let name = format!("old{index}");
+        driver.valid(seen(&name, 1, 1_000));
+        driver.valid(driver.lost(&name));
+    }
+    assert!(driver.fold.worker(&worker("old0")).is_none());
+    assert!(driver.fold.worker(&worker("old1")).is_some());
+}
--- /dev/null
+++ b/tests/tests/state_cell/invariants.rs
@@ -0,0 +1,84 @@
+//! The invariants of a cell, worked out anew from its jobs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pimentochute_base::{AttemptRef, ResourceAmount, TeamName, WorkerName};
+use pimentochute_state::{CellFold, JobState};
+
+/// What the jobs of a cell add up to.
+#[derive(Default)]
+struct CellSums {
+    committed: BTreeMap<WorkerName, ResourceAmount>,
+    placements: BTreeMap<WorkerName, BTreeSet<AttemptRef>>,
+    running: BTreeMap<TeamName, u32>,
+}
+
+/// Fails if the counts of a cell differ from what its jobs add up to, or a
+/// place is not valid.
+pub fn check(fold: &CellFold) {
+    let mut sums = CellSums::default();
+    for job in fold.jobs() {
+        check_job(fold, job);
+        add_job(fold, job, &mut sums);
+    }
+    for worker in fold.workers() {
+        let committed = sums.committed.remove(&worker.name).unwrap_or_default();
+        assert_eq!(worker.committed, committed, "committed on {}", worker.name);
+        let placements = sums.placements.remove(&worker.name).unwrap_or_default();
+        assert_eq!(worker.placements, placements, "places on {}", worker.name);
+        assert!(
+            !worker.lost || placements.is_empty(),
+            "{} is lost",
+            worker.name
+        );
+    }
+    assert!(
+        sums.placements.is_empty(),
+        "a place is on an unknown worker"
+    );
+    for (name, team) in fold.teams() {
+        let running = sums.running.remove(name).unwrap_or(0);
+        assert_eq!(team.running, running, "tasks of team {name}");
+    }
+    assert!(sums.running.is_empty(), "a task belongs to an unknown team");
+}
+
+fn check_job(fold: &CellFold, job: &JobState) {
+    let live = job.tasks.iter().filter(|task| task.phase.is_live()).count();
+    assert_eq!(job.live as usize, live, "live tasks of {}", job.spec.id);
+    assert!(
+        !job.has_ended() || live == 0,
+        "{} ended with a place",
+        job.spec.id
+    );
+    let slice = fold.slice_of(&job.spec.team);
+    let active = fold
+        .active_jobs(slice)
+        .any(|other| other.spec.id == job.spec.id);
+    assert_eq!(active, !job.has_ended(), "{} in its slice", job.spec.id);
+    let stuck = !job.has_ended() && live == 0 && job.is_stopping();
+    assert!(!stuck, "{} is stopping with nothing to stop", job.spec.id);
+}
+
+fn add_job(fold: &CellFold, job: &JobState, sums: &mut CellSums) {
+    for (task, state) in job.indexed_tasks() {
+        let Some((attempt, name, incarnation)) = state.phase.place() else {
+            continue;
+        };
+        let worker = fold.worker(name).expect("a place is on a known worker");
+        assert_eq!(worker.incarnation, incarnation, "place on {name}");
+        let job_id = job.spec.id;
+        let attempt = AttemptRef {
+            job: job_id,
+            task,
+            attempt,
+        };
+        assert!(fold.live_task(attempt).is_some());
+        *sums.committed.entry(name.clone()).or_default() += job.spec.demand;
+        sums.placements
+            .entry(name.clone())
+            .or_default()
+            .insert(attempt);
+        *sums.running.entry(job.spec.team.clone()).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/tests/tests/state_cell/moves.rs
@@ -0,0 +1,249 @@
+//! Random moves that are turned into records, most of them valid.
+
+use pimentochute_base::{
+    AttemptNumber, AttemptRef, EpochNumber, JobId, SliceIndex, TaskIndex, WorkKind,
+    WorkerIncarnation,
+};
+use pimentochute_state::{
+    CellRecord, EndReason, JobState, RefuseReason, StampedRecord, TaskPhase, TaskPlacement,
+    WorkerHealth, slice_of,
+};
+use proptest::prelude::*;
+use proptest::sample::select;
+
+use super::support::{
+    CellDriver, SLICES, WORKER_CPU, allotted, claimed, job_spec, seen, team, worker,
+};
+
+const TEAMS: [&str; 2] = ["a", "b"];
+const WORKERS: [&str; 3] = ["w1", "w2", "w3"];
+
+/// One step of a random history.
+#[derive(Debug, Clone)]
+pub enum CellMove {
+    Submit(usize, u32, WorkKind, u32),
+    Cancel(usize),
+    Refuse(usize),
+    /// Job, worker of each task, and what is wrong with the record.
+    Place(usize, [usize; 3], MoveFault),
+    Start(usize),
+    End(usize, EndReason, MoveFault),
+    See(usize, u64, u64),
+    Lose(usize, u64),
+    Health(usize, WorkerHealth),
+    Claim(u16, MoveFault),
+    Release(u16),
+    Allot(usize, u64, u32),
+    /// Appends an earlier record again.
+    Repeat(usize),
+}
+
+/// What is wrong with a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MoveFault {
+    None,
+    Epoch,
+    Attempt,
+    Incarnation,
+    Partial,
+}
+
+pub fn cell_move() -> impl Strategy<Value = CellMove> {
+    use CellMove::{
+        Allot, Cancel, Claim, End, Health, Lose, Place, Refuse, Release, Repeat, See, Start, Submit,
+    };
+    let any_job = 0..64_usize;
+    let kind = select(vec![WorkKind::Batch, WorkKind::Gang, WorkKind::Service]);
+    let health = select(vec![
+        WorkerHealth::Healthy,
+        WorkerHealth::Healthy,
+        WorkerHealth::Quarantined,
+        WorkerHealth::Leaving,
+    ]);
+    prop_oneof![
+        4 => (0..2_usize, 0..6_u32, kind, 1..4_u32)
+            .prop_map(|(team, key, kind, tasks)| Submit(team, key, kind, tasks)),
+        1 => any_job.clone().prop_map(Cancel),
+        1 => any_job.clone().prop_map(Refuse),
+        12 => (any_job.clone(), [0..3_usize, 0..3, 0..3], move_fault())
+            .prop_map(|(job, workers, fault)| Place(job, workers, fault)),
+        3 => any_job.clone().prop_map(Start),
+        8 => (any_job, select(END_REASONS.to_vec()), move_fault())
+            .prop_map(|(task, reason, fault)| End(task, reason, fault)),
+        2 => (0..3_usize, 1..4_u64, select(vec![WORKER_CPU, WORKER_CPU, 1_000, 3_000]))
+            .prop_map(|(worker, run, cpu)| See(worker, run, cpu)),
+        1 => (0..3_usize, 1..4_u64).prop_map(|(worker, run)| Lose(worker, run)),
+        1 => (0..3_usize, health).prop_map(|(worker, health)| Health(worker, health)),
+        1 => (0..SLICES, move_fault()).prop_map(|(slice, fault)| Claim(slice, fault)),
+        1 => (0..SLICES).prop_map(Release),
+        2 => (0..2_usize, 1..9_u64, 0..6_u32)
+            .prop_map(|(team, version, tasks)| Allot(team, version, tasks)),
+        2 => (0..64_usize).prop_map(Repeat),
+    ]
+}
+
+const END_REASONS: [EndReason; 5] = [
+    EndReason::Succeeded,
+    EndReason::Failed,
+    EndReason::Stopped,
+    EndReason::Lapsed,
+    EndReason::RefusedByWorker,
+];
+
+fn move_fault() -> impl Strategy<Value = MoveFault> {
+    prop_oneof![
+        12 => Just(MoveFault::None),
+        1 => Just(MoveFault::Epoch),
+        1 => Just(MoveFault::Attempt),
+        1 => Just(MoveFault::Incarnation),
+        1 => Just(MoveFault::Partial),
+    ]
+}
+
+/// Turns a move into a record; none if there is nothing to move.
+pub fn record_of(
+    driver: &mut CellDriver,
+    step: &CellMove,
+    earlier: &[StampedRecord],
+) -> Option<StampedRecord> {
+    driver.now += 700;
+    let at = driver.at();
+    let record = match step {
+        CellMove::Submit(index, key, kind, tasks) => {
+            let mut spec = job_spec(TEAMS[*index], &format!("k{key}"), *kind, *tasks);
+            spec.max_attempts = 2;
+            CellRecord::JobSubmitted { spec, at }
+        }
+        CellMove::Cancel(index) => driver.cancelled(job_at(driver, *index)?.spec.id),
+        CellMove::Refuse(index) => refused(driver, *index)?,
+        CellMove::Place(index, workers, fault) => placed(driver, *index, workers, *fault)?,
+        CellMove::Start(index) => {
+            let attempt = live_attempt(driver, *index)?;
+            CellRecord::TaskStarted { attempt, at }
+        }
+        CellMove::End(index, reason, fault) => {
+            let mut attempt = live_attempt(driver, *index)?;
+            if *fault == MoveFault::Attempt {
+                attempt.attempt = attempt.attempt.next();
+            }
+            let reason = *reason;
+            CellRecord::TaskEnded {
+                attempt,
+                reason,
+                at,
+            }
+        }
+        CellMove::See(index, run, cpu) => seen(WORKERS[*index], *run, *cpu),
+        CellMove::Lose(index, run) => CellRecord::WorkerLost {
+            worker: worker(WORKERS[*index]),
+            incarnation: WorkerIncarnation::new(*run),
+            at,
+        },
+        CellMove::Health(index, health) => CellRecord::WorkerHealthSet {
+            worker: worker(WORKERS[*index]),
+            health: *health,
+        },
+        CellMove::Claim(slice, fault) => {
+            let epoch = epoch_of(driver, SliceIndex::new(*slice)).get();
+            let step = u64::from(*fault != MoveFault::Epoch);
+            claimed(*slice, epoch + step)
+        }
+        CellMove::Release(slice) => {
+            let slice = SliceIndex::new(*slice);
+            let epoch = epoch_of(driver, slice);
+            CellRecord::SliceReleased { slice, epoch }
+        }
+        CellMove::Allot(index, version, tasks) => allotted(TEAMS[*index], *version, *tasks),
+        CellMove::Repeat(index) => return earlier.get(index % earlier.len().max(1)).cloned(),
+    };
+    Some(driver.stamp(record))
+}
+
+fn epoch_of(driver: &CellDriver, slice: SliceIndex) -> EpochNumber {
+    driver.fold.slice(slice).expect("known slice").epoch
+}
+
+fn job_at(driver: &CellDriver, index: usize) -> Option<&JobState> {
+    let jobs: Vec<&JobState> = driver.fold.jobs().collect();
+    jobs.get(index % jobs.len().max(1)).copied()
+}
+
+fn live_attempt(driver: &CellDriver, index: usize) -> Option<AttemptRef> {
+    let live: Vec<AttemptRef> = driver
+        .fold
+        .workers()
+        .flat_map(|worker| worker.placements.iter().copied())
+        .collect();
+    live.get(index % live.len().max(1)).copied()
+}
+
+fn refused(driver: &CellDriver, index: usize) -> Option<CellRecord> {
+    let job = job_at(driver, index)?;
+    let slice = slice_of(&job.spec.team, SLICES);
+    Some(CellRecord::JobRefused {
+        job: job.spec.id,
+        slice,
+        epoch: epoch_of(driver, slice),
+        reason: RefuseReason::TooLarge,
+        at: driver.at(),
+    })
+}
+
+fn placed(
+    driver: &CellDriver,
+    index: usize,
+    workers: &[usize; 3],
+    fault: MoveFault,
+) -> Option<CellRecord> {
+    let job = job_at(driver, index)?;
+    let waiting = job.indexed_tasks().filter_map(|(task, state)| {
+        let TaskPhase::Waiting { next, .. } = state.phase else {
+            return None;
+        };
+        let name = WORKERS[workers[task.get() as usize % workers.len()]];
+        Some(task_placement(driver, task, next, name, fault))
+    });
+    let mut tasks: Vec<TaskPlacement> = waiting.collect();
+    if fault == MoveFault::Partial {
+        tasks.truncate(1);
+    }
+    Some(with_epoch(driver, job.spec.id, &tasks, fault))
+}
+
+fn task_placement(
+    driver: &CellDriver,
+    task: TaskIndex,
+    next: AttemptNumber,
+    name: &str,
+    fault: MoveFault,
+) -> TaskPlacement {
+    let known = driver.fold.worker(&worker(name));
+    let run = known.map_or(1, |worker| worker.incarnation.get());
+    TaskPlacement {
+        task,
+        attempt: match fault {
+            MoveFault::Attempt => next.next(),
+            _ => next,
+        },
+        worker: worker(name),
+        incarnation: WorkerIncarnation::new(run + u64::from(fault == MoveFault::Incarnation)),
+    }
+}
+
+fn with_epoch(
+    driver: &CellDriver,
+    job: JobId,
+    tasks: &[TaskPlacement],
+    fault: MoveFault,
+) -> CellRecord {
+    let mut record = driver.placed(job, tasks);
+    if let (CellRecord::TasksPlaced { epoch, .. }, MoveFault::Epoch) = (&mut record, fault) {
+        *epoch = epoch.next();
+    }
+    record
+}
+
+/// Returns the teams of the moves.
+pub fn move_teams() -> [pimentochute_base::TeamName; 2] {
+    TEAMS.map(team)
+}
--- /dev/null
+++ b/tests/tests/state_cell/properties.rs
@@ -0,0 +1,239 @@
+//! Properties of every history of records.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::{LogOffset, WorkKind};
+use pimentochute_state::{
+    CellEffect, CellFold, CellRecord, CellSnapshot, InvalidReason, RecordBatch, RecordError,
+    StampedRecord,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+use super::invariants;
+use super::moves::{CellMove, cell_move, move_teams, record_of};
+use super::support::{CellDriver, SLICES, job_spec, placement};
+
+/// The moves of a history.
+const MOVES: usize = 120;
+
+fn payload(record: &StampedRecord) -> Vec<u8> {
+    let records = vec![record.clone()];
+    serde_json::to_vec(&RecordBatch { records }).expect("records serialise")
+}
+
+/// Plays moves on a cell with workers and returns the payloads, from the
+/// first one of the cell on.
+fn play(moves: &[CellMove], mut each: impl FnMut(&CellDriver, &CellFold, &StampedRecord)) {
+    let mut driver = CellDriver::ready();
+    let mut earlier: Vec<StampedRecord> = Vec::new();
+    for step in moves {
+        let Some(record) = record_of(&mut driver, step, &earlier) else {
+            continue;
+        };
+        let before = driver.fold.clone();
+        driver.append(record.clone());
+        each(&driver, &before, &record);
+        earlier.push(record);
+    }
+}
+
+/// Plays moves and returns the payloads that led from `CellDriver::ready`.
+fn payloads(moves: &[CellMove]) -> Vec<Vec<u8>> {
+    let mut payloads = Vec::new();
+    play(moves, |_, _, record| payloads.push(payload(record)));
+    payloads
+}
+
+fn apply_all(fold: &mut CellFold, payloads: &[Vec<u8>]) {
+    for payload in payloads {
+        let offset = fold.next_offset();
+        fold.apply(offset, payload).expect("the batch decodes");
+    }
+}
+
+/// Checks that placements kept within capacity and allotment. What was placed
+/// before a worker shrank or a limit was lowered may be above it.
+fn check_growth(before: &CellFold, after: &CellFold) {
+    for worker in after.workers() {
+        let old = before.worker(&worker.name).map(|worker| worker.committed);
+        let grew = !worker.committed.fits_within(&old.unwrap_or_default());
+        let fits = worker.committed.fits_within(&worker.capacity);
+        assert!(!grew || fits, "{} is over its capacity", worker.name);
+    }
+    for team in move_teams() {
+        let old = before.team(&team).map_or(0, |team| team.running);
+        let new = after.team(&team).expect("known team");
+        let within = new.running <= old || new.running <= new.allotment;
+        assert!(within, "{team} is over its allotment");
+    }
+}
+
+/// Checks that versions and epochs do not go back.
+fn check_order(before: &CellFold, after: &CellFold) {
+    for team in move_teams() {
+        let version = |fold: &CellFold| fold.team(&team).map(|team| team.version);
+        assert!(version(after) >= version(before));
+    }
+    for slice in (0..SLICES).map(pimentochute_base::SliceIndex::new) {
+        let epoch = |fold: &CellFold| fold.slice(slice).map(|slice| slice.epoch);
+        assert!(epoch(after) >= epoch(before));
+    }
+    assert!(after.latest_time() >= before.latest_time());
+}
+
+/// Checks that a task's attempts go up one by one and each is placed once.
+fn check_attempts(
+    attempts: &mut BTreeMap<(pimentochute_base::JobId, u32), u32>,
+    before: &CellFold,
+    after: &CellFold,
+) {
+    for job in after.jobs() {
+        for (task, state) in job.indexed_tasks() {
+            let key = (job.spec.id, task.get());
+            let last = state.phase.last_attempt().get();
+            let known = attempts.insert(key, last).unwrap_or(0);
+            assert!(last == known || last == known + 1, "attempts of {key:?}");
+            let old = before.job(job.spec.id).and_then(|job| job.task(task));
+            let place = state.phase.place();
+            let moved = old.and_then(|old| old.phase.place()).zip(place);
+            assert!(moved.is_none_or(|(old, new)| old == new), "{key:?} moved");
+        }
+    }
+}
+
+proptest! {
+    /// Guards against any history that breaks points 1, 2 or 5 of the design,
+    /// or makes a count differ from what it counts.
+    #[test]
+    fn every_history_keeps_the_invariants(moves in vec(cell_move(), MOVES)) {
+        let mut attempts = BTreeMap::new();
+        play(&moves, |driver, before, _| {
+            invariants::check(&driver.fold);
+            check_growth(before, &driver.fold);
+            check_order(before, &driver.fold);
+            check_attempts(&mut attempts, before, &driver.fold);
+        });
+    }
+
+    /// Guards against hosts that read the same records and disagree.
+    #[test]
+    fn folds_of_the_same_records_are_equal(moves in vec(cell_move(), MOVES)) {
+        let payloads = payloads(&moves);
+        let (mut one, mut two) = (CellDriver::ready().fold, CellDriver::ready().fold);
+        apply_all(&mut one, &payloads);
+        apply_all(&mut two, &payloads);
+        prop_assert_eq!(one.snapshot(), two.snapshot());
+    }
+
+    /// Guards against a host that starts from a snapshot and then disagrees
+    /// with the others, in its state or in what it tells about a record.
+    #[test]
+    fn replay_from_a_snapshot_equals_replay(
+        moves in vec(cell_move(), MOVES),
+        cut in 0..MOVES,
+    ) {
+        let payloads = payloads(&moves);
+        let mut whole = CellDriver::ready().fold;
+        let cut = cut.min(payloads.len());
+        apply_all(&mut whole, &payloads[..cut]);
+        let text = serde_json::to_vec(&whole.snapshot()).expect("snapshots serialise");
+        let snapshot: CellSnapshot = serde_json::from_slice(&text).expect("snapshots decode");
+        let mut restored = CellFold::from_snapshot(snapshot).expect("the snapshot is sound");
+        invariants::check(&restored);
+        for payload in &payloads[cut..] {
+            let offset = whole.next_offset();
+            prop_assert_eq!(restored.apply(offset, payload), whole.apply(offset, payload));
+        }
+        prop_assert_eq!(restored.snapshot(), whole.snapshot());
+        invariants::check(&restored);
+    }
+
+    /// Guards against a record whose append is repeated having two effects.
+    #[test]
+    fn repeated_records_change_nothing(moves in vec(cell_move(), MOVES), picks in vec(0..MOVES, 4)) {
+        let mut records = Vec::new();
+        let mut driver = CellDriver::ready();
+        play(&moves, |after, _, record| {
+            driver = after.clone();
+            records.push(record.clone());
+        });
+        let before = driver.fold.snapshot();
+        for pick in picks.into_iter().filter(|_| !records.is_empty()) {
+            let outcome = driver.append(records[pick % records.len()].clone());
+            prop_assert_eq!(outcome.effect, Err(InvalidReason::RepeatedRecord));
+        }
+        let mut after = driver.fold.snapshot();
+        after.next_offset = before.next_offset;
+        after.writers.clone_from(&before.writers);
+        prop_assert_eq!(after, before);
+    }
+
+    /// Guards against foreign bytes in the stream stopping or changing a cell.
+    #[test]
+    fn bytes_that_are_no_batch_change_only_the_offset(bytes in vec(any::<u8>(), 0..200)) {
+        let mut driver = CellDriver::ready();
+        let before = driver.fold.snapshot();
+        let error = driver.append_bytes(&bytes).expect_err("random bytes are no batch");
+        prop_assert!(matches!(error, RecordError::Malformed { .. }), "{:?}", error);
+        let mut after = driver.fold.snapshot();
+        prop_assert_eq!(after.next_offset, before.next_offset.next());
+        after.next_offset = before.next_offset;
+        prop_assert_eq!(after, before);
+    }
+
+    /// Guards against a damaged batch being applied in part.
+    #[test]
+    fn truncated_or_changed_batch_is_applied_whole_or_not_at_all(
+        cut in 0..400_usize,
+        byte in any::<u8>(),
+    ) {
+        let mut driver = CellDriver::ready();
+        let spec = job_spec("a", "k", WorkKind::Batch, 2);
+        let at = driver.at();
+        let submitted = CellRecord::JobSubmitted { spec: spec.clone(), at };
+        let records = vec![driver.stamp(submitted)];
+        let mut bytes = serde_json::to_vec(&RecordBatch { records }).expect("records serialise");
+        let cut = cut.min(bytes.len() - 1);
+        let result = driver.clone().append_bytes(&bytes[..cut]);
+        prop_assert!(result.is_err(), "cut at {}", cut);
+        bytes[cut] = byte;
+        if driver.append_bytes(&bytes).is_err() {
+            prop_assert!(driver.fold.job(spec.id).is_none());
+        }
+        invariants::check(&driver.fold);
+    }
+}
+
+/// Guards against a reader that skips or repeats records.
+#[test]
+fn offset_out_of_order_changes_nothing() {
+    let mut fold = CellFold::new(SLICES);
+    fold.apply(LogOffset::new(0), b"{\"records\":[]}")
+        .expect("the batch decodes");
+    for found in [0, 2].map(LogOffset::new) {
+        let expected = LogOffset::new(1);
+        let error = fold.apply(found, b"{\"records\":[]}");
+        assert_eq!(error, Err(RecordError::Offset { expected, found }));
+        assert_eq!(fold.next_offset(), expected);
+    }
+}
+
+/// Guards against a payload without a bound taking the memory.
+#[test]
+fn overlong_payload_is_not_decoded() {
+    let mut driver = CellDriver::ready();
+    let bytes = vec![b' '; pimentochute_state::MAX_PAYLOAD_BYTES + 1];
+    let error = driver.append_bytes(&bytes);
+    assert_eq!(error, Err(RecordError::TooLong { len: bytes.len() }));
+}
+
+/// Guards against consumers that follow the effects losing track of a place.
+#[test]
+fn placement_effect_names_its_tasks() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 1));
+    let tasks = vec![placement(0, 1, "w1")];
+    let effect = driver.valid(driver.placed(job, &tasks));
+    assert_eq!(effect, CellEffect::TasksPlaced { job, tasks });
+}
--- /dev/null
+++ b/tests/tests/state_cell/workers.rs
@@ -0,0 +1,152 @@
+//! Workers that restart, are lost and come back, and repeated records.
+
+use pimentochute_base::{WorkKind, WorkerIncarnation};
+use pimentochute_state::{CellEffect, CellRecord, EndReason, InvalidReason, TaskPhase};
+
+use super::support::{CellDriver, WORKER_CPU, attempt_ref, job_spec, placement, seen, worker};
+
+/// Guards against tasks of an older run of a worker holding their places.
+#[test]
+fn new_incarnation_ends_the_tasks_of_the_older_one() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 1));
+    driver.place(job, &[placement(0, 1, "w1")]);
+    let CellEffect::WorkerSeen { lapsed, .. } = driver.valid(seen("w1", 2, WORKER_CPU)) else {
+        panic!("the worker was seen");
+    };
+    assert_eq!(lapsed.len(), 1);
+    assert_eq!(lapsed[0].0, attempt_ref(job, 0, 1));
+    assert_eq!(driver.waiting(job, 0).map(|(next, _)| next), Some(2));
+    assert!(driver.job(job).tasks[0].failed_on.is_empty());
+}
+
+/// Guards against a late record of an earlier run ending the tasks of the
+/// present one, which would place them a second time.
+#[test]
+fn earlier_incarnation_is_not_brought_back() {
+    let mut driver = CellDriver::ready();
+    driver.valid(seen("w1", 2, WORKER_CPU));
+    let worker = worker("w1");
+    let reason = driver.invalid(seen("w1", 1, WORKER_CPU));
+    assert_eq!(reason, InvalidReason::OtherIncarnation { worker });
+    let reason = driver.invalid(driver.lost("w1"));
+    assert!(matches!(reason, InvalidReason::OtherIncarnation { .. }));
+}
+
+#[test]
+fn lost_worker_ends_its_tasks_and_can_come_back() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 2));
+    driver.place(job, &[placement(0, 1, "w1"), placement(1, 1, "w2")]);
+    driver.valid(driver.lost("w1"));
+    assert!(driver.waiting(job, 0).is_some());
+    assert!(matches!(driver.phase(job, 1), TaskPhase::Placed { .. }));
+    let reason = driver.invalid(driver.lost("w1"));
+    assert!(matches!(reason, InvalidReason::WorkerLost { .. }));
+    driver.valid(seen("w1", 1, WORKER_CPU));
+    driver.place(job, &[placement(0, 2, "w1")]);
+}
+
+/// Guards against an append that is repeated late, after its answer was lost:
+/// the worker has come back, and its new task would be placed a second time.
+#[test]
+fn loss_that_is_appended_twice_counts_once() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 1));
+    let loss = driver.lost("w1");
+    let loss = driver.stamp(loss);
+    assert!(driver.append(loss.clone()).effect.is_ok());
+    driver.valid(seen("w1", 1, WORKER_CPU));
+    driver.place(job, &[placement(0, 1, "w1")]);
+    let outcome = driver.append(loss);
+    assert_eq!(outcome.effect, Err(InvalidReason::RepeatedRecord));
+    assert_eq!(driver.job(job).live, 1);
+}
+
+/// Guards against a refusal that was reported as "not run" becoming valid when
+/// its record is appended a second time.
+#[test]
+fn invalid_record_stays_invalid_when_appended_twice() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 1));
+    let record = driver.placed(job, &[placement(0, 1, "w4")]);
+    let stamped = driver.stamp(record);
+    assert!(driver.append(stamped.clone()).effect.is_err());
+    driver.valid(seen("w4", 1, WORKER_CPU));
+    let outcome = driver.append(stamped);
+    assert_eq!(outcome.effect, Err(InvalidReason::RepeatedRecord));
+}
+
+/// Guards against records being dropped because a host's appends overtook
+/// each other on different paths.
+#[test]
+fn overtaken_record_still_counts() {
+    let mut driver = CellDriver::empty();
+    let first = driver.stamp(seen("w1", 1, WORKER_CPU));
+    let second = driver.stamp(seen("w2", 1, WORKER_CPU));
+    let outcomes = driver.append_batch(vec![second.clone(), first.clone(), first, second]);
+    let valid: Vec<bool> = outcomes.iter().map(|o| o.effect.is_ok()).collect();
+    assert_eq!(valid, [true, true, false, false]);
+}
+
+/// Guards against a worker that shrinks being filled by its former size.
+#[test]
+fn shrunk_worker_gets_nothing_until_its_tasks_fit() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 3));
+    driver.place(job, &[placement(0, 1, "w1"), placement(1, 1, "w1")]);
+    driver.valid(seen("w1", 1, 1_000));
+    driver.end(job, 0, 1, EndReason::Succeeded);
+    let record = driver.placed(job, &[placement(2, 1, "w1")]);
+    assert!(matches!(
+        driver.invalid(record.clone()),
+        InvalidReason::NoRoom { .. }
+    ));
+    driver.end(job, 1, 1, EndReason::Succeeded);
+    driver.valid(record);
+}
+
+/// Guards against one job that always fails, or tasks that were told to stop,
+/// making a sound worker look like one that fails every task.
+#[test]
+fn worker_remembers_different_jobs_that_failed_in_a_row() {
+    let mut driver = CellDriver::ready();
+    let failed = |driver: &CellDriver| {
+        let worker = driver.fold.worker(&worker("w1"));
+        worker.map(|worker| worker.failed_jobs.len())
+    };
+    let first = driver.submit(&job_spec("a", "k1", WorkKind::Batch, 1));
+    for attempt in 1..=2 {
+        driver.place(first, &[placement(0, attempt, "w1")]);
+        driver.end(first, 0, attempt, EndReason::Failed);
+    }
+    assert_eq!(failed(&driver), Some(1));
+    let second = driver.submit(&job_spec("a", "k2", WorkKind::Batch, 2));
+    driver.place(second, &[placement(0, 1, "w1"), placement(1, 1, "w1")]);
+    driver.end(second, 0, 1, EndReason::Failed);
+    assert_eq!(failed(&driver), Some(2));
+    driver.valid(driver.cancelled(second));
+    driver.end(second, 1, 1, EndReason::Failed);
+    assert_eq!(failed(&driver), Some(2));
+    driver.place(first, &[placement(0, 3, "w1")]);
+    driver.end(first, 0, 3, EndReason::Succeeded);
+    assert_eq!(failed(&driver), Some(0));
+}
+
+#[test]
+fn task_that_was_seen_running_has_started_once() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 1));
+    driver.place(job, &[placement(0, 1, "w1")]);
+    let started = |driver: &CellDriver, attempt| CellRecord::TaskStarted {
+        attempt: attempt_ref(job, 0, attempt),
+        at: driver.at(),
+    };
+    let reason = driver.invalid(started(&driver, 2));
+    assert_eq!(reason, InvalidReason::AttemptNotLive);
+    driver.valid(started(&driver, 1));
+    let place = driver.phase(job, 0).place().map(|(_, _, run)| run);
+    assert_eq!(place, Some(WorkerIncarnation::new(1)));
+    let reason = driver.invalid(started(&driver, 1));
+    assert_eq!(reason, InvalidReason::AlreadyStarted);
+}
