--- /dev/null
+++ b/tests/tests/config_fold/history.rs
@@ -0,0 +1,134 @@
+//! Outcomes, history and snapshots.
+
+use pimentochute_base::{ConfigVersion, LogOffset};
+use pimentochute_state::{
+    ConfigFold, ConfigSnapshot, MAX_HISTORY, MAX_VERSIONS, PatchAnswer, PatchOutcome, RecordError,
+};
+use test_case::test_case;
+
+use super::support::{
+    append, change, grant_key, key, patch, patch_id, ready_fold, set_team, team, withdraw_key,
+};
+
+fn accepted(version: u64) -> PatchOutcome {
+    PatchOutcome::Accepted {
+        version: ConfigVersion::new(version),
+    }
+}
+
+/// Guards against a patch whose append was repeated taking effect twice, or
+/// its author being told that it is stale.
+#[test]
+fn repeated_patch_has_its_first_outcome() {
+    let mut fold = ready_fold();
+    let one = patch("p", 1, vec![set_team("b", 1)]);
+    let stale = patch("q", 1, vec![set_team("b", 2)]);
+    assert_eq!(append(&mut fold, &one), PatchAnswer::First(accepted(2)));
+    let PatchAnswer::First(rejected) = append(&mut fold, &stale) else {
+        panic!("the patch is new");
+    };
+    change(&mut fold, "r", vec![set_team("b", 3)]).expect("the patch is valid");
+    assert_eq!(append(&mut fold, &one), PatchAnswer::Repeated(accepted(2)));
+    let answer = append(&mut fold, &stale);
+    assert_eq!(answer, PatchAnswer::Repeated(rejected));
+    assert_eq!(fold.current().version.get(), 3);
+    assert_eq!(fold.current().teams[&team("b")].share, 3);
+}
+
+/// Guards against the author of a second patch with a used identifier being
+/// told that it was accepted.
+#[test]
+fn other_patch_with_a_used_id_is_a_conflict() {
+    let mut fold = ready_fold();
+    append(&mut fold, &patch("p", 1, vec![set_team("b", 1)]));
+    let other = patch("p", 2, vec![set_team("c", 1)]);
+    let conflict = PatchAnswer::Conflict { other: accepted(2) };
+    assert_eq!(append(&mut fold, &other), conflict);
+    assert_eq!(fold.answer(&other), Some(conflict));
+    assert_eq!(fold.outcome(&patch_id("p")), Some(&accepted(2)));
+    assert!(!fold.current().teams.contains_key(&team("c")));
+}
+
+#[test]
+fn two_patches_on_one_base_have_one_winner() {
+    let mut fold = ready_fold();
+    let first = append(&mut fold, &patch("p", 1, vec![set_team("b", 1)]));
+    let second = append(&mut fold, &patch("q", 1, vec![set_team("c", 1)]));
+    assert_eq!(first, PatchAnswer::First(accepted(2)));
+    assert!(matches!(
+        second,
+        PatchAnswer::First(PatchOutcome::Rejected { current, .. }) if current.get() == 2
+    ));
+}
+
+#[test]
+fn versions_and_history_are_bounded() {
+    let mut fold = ready_fold();
+    let last = MAX_HISTORY as u64 + 10;
+    for version in 2..=last {
+        let made = change(&mut fold, &format!("p{version}"), vec![set_team("b", 1)]);
+        assert_eq!(made, Ok(version));
+    }
+    assert_eq!(fold.history().len(), MAX_HISTORY);
+    assert_eq!(fold.outcome(&patch_id("setup")), None);
+    let newest = patch_id(&format!("p{last}"));
+    assert_eq!(fold.outcome(&newest), Some(&accepted(last)));
+    let kept = last - MAX_VERSIONS as u64 + 1;
+    for version in kept..=last {
+        let config = fold.version(ConfigVersion::new(version));
+        assert_eq!(config.map(|config| config.version.get()), Some(version));
+    }
+    assert!(fold.version(ConfigVersion::new(kept - 1)).is_none());
+    let restored = ConfigFold::from_snapshot(fold.snapshot()).expect("the snapshot is sound");
+    assert_eq!(restored.outcome(&newest), Some(&accepted(last)));
+}
+
+/// Guards against a forgotten patch that is appended again undoing later
+/// changes.
+#[test]
+fn forgotten_patch_is_stale_when_repeated() {
+    let mut fold = ready_fold();
+    let first = patch("first", 1, vec![set_team("a", 7)]);
+    append(&mut fold, &first);
+    for index in 0..=MAX_HISTORY {
+        change(&mut fold, &format!("p{index}"), vec![set_team("a", 1)]).expect("valid patch");
+    }
+    assert_eq!(fold.outcome(&first.id), None);
+    let PatchAnswer::First(PatchOutcome::Rejected { .. }) = append(&mut fold, &first) else {
+        panic!("the patch is stale");
+    };
+    assert_eq!(fold.current().teams[&team("a")].share, 1);
+}
+
+#[test]
+fn withdrawn_keys_survive_a_snapshot() {
+    let mut fold = ready_fold();
+    change(&mut fold, "w", vec![withdraw_key("ka")]).expect("the key exists");
+    let mut restored = ConfigFold::from_snapshot(fold.snapshot()).expect("sound snapshot");
+    assert!(change(&mut restored, "g", vec![grant_key("ka", "a", "new")]).is_err());
+}
+
+/// Guards against a damaged snapshot being put in force.
+#[test_case(|s| s.config.teams.clear() ; "key of unknown team")]
+#[test_case(|s| s.history.push(s.history[0].clone()) ; "patch twice")]
+#[test_case(|s| s.retired_keys.push(key("ka")) ; "withdrawn key in force")]
+#[test_case(|s| s.retired_keys = vec![key("x"), key("x")] ; "withdrawn key twice")]
+fn contradictory_snapshot_is_refused(change: fn(&mut ConfigSnapshot)) {
+    let mut snapshot = ready_fold().snapshot();
+    ConfigFold::from_snapshot(snapshot.clone()).expect("the snapshot is sound");
+    change(&mut snapshot);
+    assert!(ConfigFold::from_snapshot(snapshot).is_err());
+}
+
+/// Guards against a reader that skips or repeats records.
+#[test]
+fn offset_out_of_order_changes_nothing() {
+    let mut fold = ready_fold();
+    let before = fold.snapshot();
+    let expected = fold.next_offset();
+    for found in [0, 2].map(LogOffset::new) {
+        let error = fold.apply(found, b"{}");
+        assert_eq!(error, Err(RecordError::Offset { expected, found }));
+    }
+    assert_eq!(fold.snapshot(), before);
+}
