--- /dev/null
+++ b/crates/pimentochute-schedule/src/decide.rs
@@ -0,0 +1,395 @@
+//! The decisions.
+
+use pimentochute_base::{AttemptRef, MilliSpan, MilliTime, PriorityClass, TaskIndex, WorkKind};
+use smallvec::SmallVec;
+
+use crate::class_order::CLASS_COUNT;
+use crate::job_table::JobKey;
+use crate::placement_table::PlacedTask;
+use crate::round::{DecisionRound, TurnContext};
+use crate::team_table::TeamKey;
+use crate::worker_table::WorkerKey;
+use crate::{FitRule, JobPlacer, JobRank, PlacementDecision, PlacementReason, TaskChoice};
+
+/// Tasks of one job placed before the teams are ranked again. Smaller runs
+/// follow the shares more closely, larger ones save time.
+const RUN_TASKS: usize = 4;
+
+/// Ready tasks of a job tried at most before the next job; more than
+/// [`RUN_TASKS`], since a task may have to avoid the workers that are free.
+const TRIED_TASKS: usize = 16;
+
+/// Jobs of a team and class tried at most per call. A job behind that many
+/// that do not fit waits until one of them is placed or holds workers.
+const TRIED_JOBS: usize = 64;
+
+impl JobPlacer {
+    /// Decides where waiting tasks go, at most `max_tasks` of them in all; the
+    /// last one may be a gang that exceeds the rest of that number.
+    ///
+    /// `now` is on the same clock as the times of the jobs. The chosen workers
+    /// are reserved at once.
+    #[must_use]
+    pub fn decide(&mut self, now: MilliTime, max_tasks: usize) -> Vec<PlacementDecision> {
+        self.wake_jobs(now);
+        self.refresh_ranks();
+        let mut round = DecisionRound::new(now, max_tasks);
+        self.serve_hold(&mut round);
+        while round.left > 0 {
+            let due = self.teams.classes_due();
+            let open = std::array::from_fn(|class| due[class] && !round.exhausted[class]);
+            let Some((class, turn)) = self.settings.class_order.next(open) else {
+                break;
+            };
+            let context = TurnContext { turn, owner: false };
+            match self.place_in_class(class, context, &mut round) {
+                0 => round.exhausted[class] = true,
+                tasks => self.note_class(class, tasks, due),
+            }
+        }
+        self.plan_hold(now);
+        let decisions = round.into_decisions();
+        self.totals.decisions += decisions.len() as u64;
+        let placed = decisions.iter().map(|decision| decision.tasks.len() as u64);
+        self.totals.placed_tasks += placed.sum::<u64>();
+        decisions
+    }
+
+    fn note_class(&mut self, class: usize, tasks: u32, due: [bool; CLASS_COUNT]) {
+        self.settings.class_order.note(class, tasks, due);
+    }
+
+    /// Places tasks of the first team that has one that fits.
+    fn place_in_class(
+        &mut self,
+        class: usize,
+        context: TurnContext,
+        round: &mut DecisionRound,
+    ) -> u32 {
+        let mut cursor = None;
+        while let Some(entry) = self.teams.next_in(class, cursor) {
+            cursor = Some(entry);
+            let team = entry.1;
+            if round.is_blocked(class, team) {
+                continue;
+            }
+            let tasks = self.place_for_team(class, team, context, round);
+            if tasks > 0 {
+                return tasks;
+            }
+            round.block(class, team);
+        }
+        0
+    }
+
+    /// Places tasks of the first job of a team that fits.
+    fn place_for_team(
+        &mut self,
+        class: usize,
+        team: TeamKey,
+        context: TurnContext,
+        round: &mut DecisionRound,
+    ) -> u32 {
+        let full = self
+            .teams
+            .get(team)
+            .is_none_or(|state| state.headroom() == 0);
+        if full && !self.hold.is_planned(round.now) {
+            return 0;
+        }
+        let mut cursor = None;
+        for _ in 0..TRIED_JOBS {
+            let Some(entry) = self.next_due(class, team, cursor) else {
+                break;
+            };
+            cursor = Some(entry);
+            let tasks = self.place_job(entry.1, context, round);
+            if tasks > 0 {
+                return tasks;
+            }
+            self.hold.note_stuck(&self.jobs, entry.1, round.now);
+        }
+        0
+    }
+
+    fn next_due(
+        &self,
+        class: usize,
+        team: TeamKey,
+        after: Option<(JobRank, JobKey)>,
+    ) -> Option<(JobRank, JobKey)> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let due = &self.teams.get(team)?.due[class];
+        match after {
+            None => due.first().copied(),
+            Some(last) => due.range((Excluded(last), Unbounded)).next().copied(),
+        }
+    }
+
+    /// Places tasks of a job and returns their number.
+    pub(crate) fn place_job(
+        &mut self,
+        key: JobKey,
+        context: TurnContext,
+        round: &mut DecisionRound,
+    ) -> u32 {
+        let Some(job) = self.jobs.get(key) else {
+            return 0;
+        };
+        let headroom = self.headroom(key);
+        if headroom == 0 {
+            return 0;
+        }
+        if job.kind == WorkKind::Gang {
+            self.place_gang(key, headroom, context, round)
+        } else {
+            self.place_run(key, headroom, context, round)
+        }
+    }
+
+    /// Returns how many tasks of a job the allotment allows, without what is
+    /// kept for the gang of the same team that holds workers.
+    fn headroom(&self, key: JobKey) -> u32 {
+        let job = self.jobs.get(key);
+        let team = job.and_then(|job| self.teams.get(job.team).map(|state| (job.team, state)));
+        team.map_or(0, |(team, state)| {
+            let kept = self.hold.tasks_kept(team, key);
+            state.headroom().saturating_sub(kept)
+        })
+    }
+
+    /// Places a few independent tasks of a job.
+    fn place_run(
+        &mut self,
+        key: JobKey,
+        headroom: u32,
+        context: TurnContext,
+        round: &mut DecisionRound,
+    ) -> u32 {
+        let limit = RUN_TASKS.min(round.left).min(headroom as usize);
+        let mut placed = 0;
+        for index in self.first_ready(key) {
+            if placed as usize == limit {
+                break;
+            }
+            match self.try_task(key, index, context.owner, round) {
+                TaskTrial::Fits(worker, rule) => {
+                    let why = self.reason(key, context, rule, round.now);
+                    if let Some(choice) = self.reserve(key, index, worker, round.now) {
+                        self.report_task(key, choice, why, round);
+                        placed += 1;
+                    }
+                }
+                TaskTrial::Waits => break,
+                TaskTrial::Avoids => {}
+            }
+        }
+        self.requeue(key);
+        placed
+    }
+
+    /// Places all tasks of a gang or none.
+    fn place_gang(
+        &mut self,
+        key: JobKey,
+        headroom: u32,
+        context: TurnContext,
+        round: &mut DecisionRound,
+    ) -> u32 {
+        if !self.gang_may_fit(key, headroom, context.owner) {
+            return 0;
+        }
+        let why = self.reason(key, context, FitRule::Gang, round.now);
+        let gains = self.workers.gains;
+        let choices = self.reserve_all(key, context.owner, round);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return 0;
+        };
+        if choices.is_empty() {
+            job.tried_gains = Some(gains);
+            // Undoing the trial counts as a gain of room; nothing was gained.
+            self.workers.gains = gains;
+        } else if let Some(decision) = self.new_decision(key, choices, why) {
+            round.add_gang(decision);
+        }
+        self.requeue(key);
+        let placed = self.jobs.get(key).filter(|job| !job.queued);
+        placed.map_or(0, |job| job.task_count)
+    }
+
+    /// Checks cheaply whether a gang may fit, before all its tasks are tried.
+    fn gang_may_fit(&self, key: JobKey, headroom: u32, owner: bool) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        let enough = u64::from(job.task_count);
+        let tried = job.tried_gains == Some(self.workers.gains) && !owner;
+        if headroom < job.task_count || tried {
+            return false;
+        }
+        let open = self.workers.open.room_bound(&job.demand, enough);
+        let kept = if owner {
+            self.workers.kept.room_bound(&job.demand, enough)
+        } else {
+            0
+        };
+        open.saturating_add(kept) >= enough
+    }
+
+    /// Reserves all ready tasks, or none; then the list is empty.
+    fn reserve_all(
+        &mut self,
+        key: JobKey,
+        owner: bool,
+        round: &mut DecisionRound,
+    ) -> Vec<TaskChoice> {
+        let Some(job) = self.jobs.get(key) else {
+            return Vec::new();
+        };
+        let id = job.id;
+        let tasks: Vec<TaskIndex> = job.ready.keys().copied().collect();
+        let mut choices = Vec::with_capacity(tasks.len());
+        for index in tasks {
+            let choice = match self.try_task(key, index, owner, round) {
+                TaskTrial::Fits(worker, _) => self.reserve(key, index, worker, round.now),
+                TaskTrial::Waits | TaskTrial::Avoids => None,
+            };
+            if let Some(choice) = choice {
+                choices.push(choice);
+                continue;
+            }
+            for choice in choices.drain(..) {
+                self.unreserve(AttemptRef {
+                    job: id,
+                    task: choice.task,
+                    attempt: choice.attempt,
+                });
+            }
+            self.wake_tasks(key, round.now);
+            // What did not fit while part of the gang was reserved may fit now.
+            round.forget_demands();
+            break;
+        }
+        choices
+    }
+
+    fn wake_tasks(&mut self, key: JobKey, now: MilliTime) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.wake_tasks(now);
+        }
+    }
+
+    fn first_ready(&self, key: JobKey) -> SmallVec<[TaskIndex; TRIED_TASKS]> {
+        let job = self.jobs.get(key);
+        job.map_or_else(SmallVec::new, |job| {
+            job.ready.keys().take(TRIED_TASKS).copied().collect()
+        })
+    }
+
+    fn try_task(
+        &self,
+        key: JobKey,
+        index: TaskIndex,
+        owner: bool,
+        round: &mut DecisionRound,
+    ) -> TaskTrial {
+        let job = self.jobs.get(key);
+        let Some(task) = job.and_then(|job| job.ready.get(&index)) else {
+            return TaskTrial::Avoids;
+        };
+        match self.choose_worker(key, task, owner, round) {
+            Some((worker, rule)) => TaskTrial::Fits(worker, rule),
+            None if task.avoid.is_empty() => TaskTrial::Waits,
+            None => TaskTrial::Avoids,
+        }
+    }
+
+    /// Moves a ready task to a worker.
+    fn reserve(
+        &mut self,
+        key: JobKey,
+        index: TaskIndex,
+        worker: WorkerKey,
+        now: MilliTime,
+    ) -> Option<TaskChoice> {
+        let state = self.workers.get(worker)?;
+        let (name, incarnation) = (state.name.clone(), state.incarnation);
+        let job = self.jobs.get_mut(key)?;
+        let waiting = job.ready.remove(&index)?;
+        let attempt = waiting.attempt;
+        let placed = PlacedTask {
+            job: job.id,
+            task: index,
+            attempt,
+            team: job.team,
+            kind: job.kind,
+            worker,
+            demand: job.demand,
+            expected_end: job.times.expected_run.map(|run| now + run),
+            probe_era: None,
+            reserved: Some(Box::new(waiting)),
+        };
+        self.occupy(placed);
+        Some(TaskChoice {
+            task: index,
+            attempt,
+            worker: name,
+            incarnation,
+        })
+    }
+
+    fn report_task(
+        &self,
+        key: JobKey,
+        choice: TaskChoice,
+        why: PlacementReason,
+        round: &mut DecisionRound,
+    ) {
+        if let Some(decision) = self.new_decision(key, Vec::new(), why) {
+            round.add_task(key, choice, decision);
+        }
+    }
+
+    fn new_decision(
+        &self,
+        key: JobKey,
+        tasks: Vec<TaskChoice>,
+        why: PlacementReason,
+    ) -> Option<PlacementDecision> {
+        let job = self.jobs.get(key)?;
+        Some(PlacementDecision {
+            job: job.id,
+            team: self.teams.get(job.team)?.name.clone(),
+            tasks,
+            why,
+        })
+    }
+
+    fn reason(
+        &self,
+        key: JobKey,
+        context: TurnContext,
+        fit: FitRule,
+        now: MilliTime,
+    ) -> PlacementReason {
+        let job = self.jobs.get(key);
+        let used = job.and_then(|job| self.teams.get(job.team)).map(|t| t.used);
+        PlacementReason {
+            class: job.map_or(PriorityClass::Normal, |job| job.priority),
+            turn: context.turn,
+            share_ppm: used.map_or(0, |used| self.workers.scale().dominant_ppm(&used)),
+            waited: job.map_or(MilliSpan::ZERO, |job| job.waited(now)),
+            fit,
+        }
+    }
+}
+
+/// What became of a task that was tried.
+enum TaskTrial {
+    /// A worker was found.
+    Fits(WorkerKey, FitRule),
+    /// No worker has room for it, nor for its like.
+    Waits,
+    /// No worker has room that it need not avoid.
+    Avoids,
+}
--- a/crates/pimentochute-schedule/src/decision.rs
+++ b/crates/pimentochute-schedule/src/decision.rs
@@ -86,6 +86,9 @@
     /// The worker with the least room left over.
     #[display("best fit")]
     BestFit,
+    /// The worker with the most room left over.
+    #[display("worst fit")]
+    WorstFit,
     /// A worker in a rack with the fewest tasks of the job.
     #[display("least used rack")]
     RackSpread,
--- /dev/null
+++ b/crates/pimentochute-schedule/src/free_index.rs
@@ -0,0 +1,344 @@
+//! Finds workers by what is free on them, without looking at all of them.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::ResourceAmount;
+use slotmap::SecondaryMap;
+
+use crate::worker_table::WorkerKey;
+
+/// Buckets of processor time and of memory; one bit of a mask each.
+const BUCKETS: usize = 64;
+
+/// Workers with this many accelerators or more share a plane.
+const MAX_PLANE: usize = 8;
+
+/// Drops the low bits of amounts: 64 thousandths of a core, 64 MiB.
+const UNIT_SHIFT: u32 = 6;
+
+/// Workers that fit are compared with each other up to this number per cell;
+/// more gave no measurable gain in packing.
+const COMPARED_PER_CELL: usize = 32;
+
+/// The order in which cells are searched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SearchOrder {
+    /// Workers with the least room first.
+    Tightest,
+    /// Workers with the most room first.
+    Emptiest,
+}
+
+/// The merit of a worker for a task; the smaller one wins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FitScore {
+    /// A worker without penalty ends the search at its cell.
+    pub penalty: u32,
+    /// Decides between workers with equal penalty.
+    pub leftover: u64,
+}
+
+/// What is searched for.
+pub(crate) struct FreeQuery<'a> {
+    /// What a task is given.
+    pub demand: ResourceAmount,
+    /// The order of cells.
+    pub order: SearchOrder,
+    /// The search ends after this many workers that fit.
+    pub budget: usize,
+    /// Rates a worker that fits; none if it is not admissible.
+    pub score: &'a dyn Fn(WorkerKey, &ResourceAmount) -> Option<FitScore>,
+}
+
+/// Workers in cells of similar free amounts.
+///
+/// A search visits cells, of which there are few, and the workers of the cells
+/// it stops at. Buckets grow by a quarter, so a cell at the edge of the demand
+/// holds workers that do not fit; these are checked one by one.
+#[derive(Debug, Default)]
+pub(crate) struct FreeIndex {
+    /// By accelerators; planes above the largest one seen do not exist.
+    planes: Vec<IndexPlane>,
+    /// Where each worker is; exactly the workers in `planes`.
+    spots: SecondaryMap<WorkerKey, IndexSpot>,
+}
+
+#[derive(Debug)]
+struct IndexPlane {
+    /// Bit `m` of row `c` is set exactly if cell `(c, m)` holds a worker.
+    rows: [u64; BUCKETS],
+    /// Only cells that hold a worker.
+    cells: BTreeMap<(u8, u8), Vec<IndexEntry>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct IndexEntry {
+    worker: WorkerKey,
+    free: ResourceAmount,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct IndexSpot {
+    plane: usize,
+    cell: (u8, u8),
+    position: usize,
+}
+
+impl FreeIndex {
+    /// Adds a worker or changes what is free on it.
+    pub fn set(&mut self, worker: WorkerKey, free: ResourceAmount) {
+        let plane = plane_of(&free);
+        let cell = cell_of(&free);
+        if let Some(spot) = self.spots.get(worker).copied() {
+            if spot.plane == plane && spot.cell == cell {
+                self.rewrite(spot, free);
+                return;
+            }
+            self.remove(worker);
+        }
+        while self.planes.len() <= plane {
+            self.planes.push(IndexPlane::new());
+        }
+        let position = self.planes[plane].push(cell, IndexEntry { worker, free });
+        self.spots.insert(
+            worker,
+            IndexSpot {
+                plane,
+                cell,
+                position,
+            },
+        );
+    }
+
+    /// Removes a worker, if it is there.
+    pub fn remove(&mut self, worker: WorkerKey) {
+        let Some(spot) = self.spots.remove(worker) else {
+            return;
+        };
+        let moved = self.planes[spot.plane].take(spot.cell, spot.position);
+        if let Some(moved) = moved.and_then(|key| self.spots.get_mut(key)) {
+            moved.position = spot.position;
+        }
+    }
+
+    /// Tells whether no worker is there.
+    pub fn is_empty(&self) -> bool {
+        self.spots.is_empty()
+    }
+
+    /// Returns the best worker that fits.
+    pub fn search(&self, query: &FreeQuery<'_>) -> Option<WorkerKey> {
+        let mut best: Option<(FitScore, WorkerKey)> = None;
+        let mut budget = query.budget;
+        for plane in self.planes.iter().skip(plane_of(&query.demand)) {
+            plane.search(query, &mut budget, &mut best);
+            if budget == 0 || best.is_some_and(|(score, _)| score.penalty == 0) {
+                break;
+            }
+        }
+        best.map(|(_, worker)| worker)
+    }
+
+    /// Returns how many tasks of `demand` the workers can hold at most, or
+    /// `enough` if that is less. The true number may be smaller.
+    pub fn room_bound(&self, demand: &ResourceAmount, enough: u64) -> u64 {
+        let mut room = 0u64;
+        for plane in self.planes.iter().skip(plane_of(demand)) {
+            for (cell, entries) in plane.cells_holding(demand) {
+                let each = slots_bound(cell, demand);
+                room = room.saturating_add(each.saturating_mul(entries.len() as u64));
+                if room >= enough {
+                    return enough;
+                }
+            }
+        }
+        room
+    }
+
+    /// Returns how many tasks of `demand` the workers can hold, or `enough`
+    /// if that is less. Looks at every worker that may fit.
+    pub fn room_for(&self, demand: &ResourceAmount, enough: u64) -> u64 {
+        let mut room = 0u64;
+        for plane in self.planes.iter().skip(plane_of(demand)) {
+            for (_, entries) in plane.cells_holding(demand) {
+                for entry in entries {
+                    room = room.saturating_add(slots_in(&entry.free, demand));
+                    if room >= enough {
+                        return enough;
+                    }
+                }
+            }
+        }
+        room
+    }
+
+    fn rewrite(&mut self, spot: IndexSpot, free: ResourceAmount) {
+        let entries = self.planes[spot.plane].cells.get_mut(&spot.cell);
+        if let Some(entry) = entries.and_then(|entries| entries.get_mut(spot.position)) {
+            entry.free = free;
+        }
+    }
+}
+
+impl IndexPlane {
+    fn new() -> Self {
+        Self {
+            rows: [0; BUCKETS],
+            cells: BTreeMap::new(),
+        }
+    }
+
+    fn push(&mut self, cell: (u8, u8), entry: IndexEntry) -> usize {
+        self.rows[usize::from(cell.0)] |= 1 << cell.1;
+        let entries = self.cells.entry(cell).or_default();
+        entries.push(entry);
+        entries.len() - 1
+    }
+
+    /// Removes an entry and returns the worker that takes its position.
+    fn take(&mut self, cell: (u8, u8), position: usize) -> Option<WorkerKey> {
+        let entries = self.cells.get_mut(&cell)?;
+        entries.swap_remove(position);
+        let moved = entries.get(position).map(|entry| entry.worker);
+        if entries.is_empty() {
+            self.cells.remove(&cell);
+            self.rows[usize::from(cell.0)] &= !(1 << cell.1);
+        }
+        moved
+    }
+
+    fn cells_holding<'a>(
+        &'a self,
+        demand: &ResourceAmount,
+    ) -> impl Iterator<Item = ((u8, u8), &'a Vec<IndexEntry>)> + use<'a> {
+        let (cpu, memory) = cell_of(demand);
+        self.cells
+            .range((cpu, 0)..)
+            .filter(move |((_, bucket), _)| *bucket >= memory)
+            .map(|(cell, entries)| (*cell, entries))
+    }
+
+    fn search(
+        &self,
+        query: &FreeQuery<'_>,
+        budget: &mut usize,
+        best: &mut Option<(FitScore, WorkerKey)>,
+    ) {
+        let (cpu, memory) = cell_of(&query.demand);
+        let mut rows = self.rows;
+        for row in &mut rows {
+            *row &= u64::MAX << memory;
+        }
+        while *budget > 0 {
+            let Some(cell) = next_cell(&rows, cpu, query.order) else {
+                return;
+            };
+            rows[usize::from(cell.0)] &= !(1 << cell.1);
+            let Some(entries) = self.cells.get(&cell) else {
+                continue;
+            };
+            compare_entries(entries, query, budget, best);
+            if best.is_some_and(|(score, _)| score.penalty == 0) {
+                return;
+            }
+        }
+    }
+}
+
+/// Finds the tightest or the emptiest cell from row `first` on.
+fn next_cell(rows: &[u64; BUCKETS], first: u8, order: SearchOrder) -> Option<(u8, u8)> {
+    let cells = (first..64).filter_map(|row| {
+        let mask = rows[usize::from(row)];
+        let bucket = match order {
+            SearchOrder::Tightest => mask.trailing_zeros(),
+            SearchOrder::Emptiest => 63u32.checked_sub(mask.leading_zeros())?,
+        };
+        let bucket = u8::try_from(bucket).ok().filter(|bucket| *bucket < 64)?;
+        Some((row, bucket))
+    });
+    match order {
+        SearchOrder::Tightest => cells.min_by_key(|(row, bucket)| row + bucket),
+        SearchOrder::Emptiest => cells.max_by_key(|(row, bucket)| row + bucket),
+    }
+}
+
+fn compare_entries(
+    entries: &[IndexEntry],
+    query: &FreeQuery<'_>,
+    budget: &mut usize,
+    best: &mut Option<(FitScore, WorkerKey)>,
+) {
+    let mut compared = 0;
+    for entry in entries {
+        if !query.demand.fits_within(&entry.free) {
+            continue;
+        }
+        let Some(score) = (query.score)(entry.worker, &entry.free) else {
+            continue;
+        };
+        if best.is_none_or(|(least, _)| score < least) {
+            *best = Some((score, entry.worker));
+        }
+        compared += 1;
+        *budget = budget.saturating_sub(1);
+        let settled = compared >= COMPARED_PER_CELL && best.is_some_and(|(s, _)| s.penalty == 0);
+        if settled || *budget == 0 {
+            return;
+        }
+    }
+}
+
+/// Returns how many tasks of `demand` fit into `free`.
+pub(crate) fn slots_in(free: &ResourceAmount, demand: &ResourceAmount) -> u64 {
+    [
+        (free.cpu_millis, demand.cpu_millis),
+        (free.memory_mib, demand.memory_mib),
+        (free.accelerators, demand.accelerators),
+    ]
+    .into_iter()
+    .filter_map(|(room, need)| room.checked_div(need))
+    .min()
+    .unwrap_or(u64::MAX)
+}
+
+/// Bounds how many tasks a worker of the cell holds, from above.
+fn slots_bound(cell: (u8, u8), demand: &ResourceAmount) -> u64 {
+    let cpu = bucket_end(cell.0).checked_div(demand.cpu_millis);
+    let memory = bucket_end(cell.1).checked_div(demand.memory_mib);
+    cpu.unwrap_or(u64::MAX).min(memory.unwrap_or(u64::MAX))
+}
+
+fn plane_of(free: &ResourceAmount) -> usize {
+    usize::try_from(free.accelerators).map_or(MAX_PLANE, |count| count.min(MAX_PLANE))
+}
+
+fn cell_of(free: &ResourceAmount) -> (u8, u8) {
+    (bucket_of(free.cpu_millis), bucket_of(free.memory_mib))
+}
+
+/// Returns the bucket of an amount: four per doubling. Never decreases when
+/// the amount increases.
+fn bucket_of(amount: u64) -> u8 {
+    let units = amount >> UNIT_SHIFT;
+    let bucket = if units < 4 {
+        units
+    } else {
+        let exponent = u64::from(units.ilog2());
+        4 * (exponent - 1) + ((units >> (exponent - 2)) & 3)
+    };
+    u8::try_from(bucket.min(63)).unwrap_or(63)
+}
+
+/// Returns the largest amount of a bucket.
+fn bucket_end(bucket: u8) -> u64 {
+    let next = u64::from(bucket) + 1;
+    if next >= 64 {
+        return u64::MAX;
+    }
+    let units = if next < 4 {
+        next
+    } else {
+        (4 + next % 4) << (next / 4 - 1)
+    };
+    (units << UNIT_SHIFT) - 1
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/hold.rs
@@ -0,0 +1,233 @@
+//! Room kept for a job that waited long, and backfill around it.
+//!
+//! One job at a time holds workers. Others may use them only for tasks that
+//! are declared to end before the holder is expected to start.
+
+use std::collections::BTreeSet;
+
+use pimentochute_base::{MilliSpan, MilliTime, ResourceAmount, WorkKind};
+use slotmap::SecondaryMap;
+
+use crate::free_index::slots_in;
+use crate::job_table::{JobKey, JobState, JobTable};
+use crate::round::{DecisionRound, TurnContext};
+use crate::settings::{HOLD_LIMIT, HOLD_PAUSE};
+use crate::team_table::TeamKey;
+use crate::worker_table::WorkerKey;
+use crate::{JobPlacer, TurnReason, WorkerReadiness};
+
+/// The time between two attempts to plan a hold; planning looks at every
+/// placed task.
+const PLAN_INTERVAL: MilliSpan = MilliSpan::new(1_000);
+
+/// Jobs looked at per attempt, oldest first.
+const PLAN_JOBS: usize = 8;
+
+/// A task without a declared run time is taken to end this long from now.
+const UNDECLARED_RUN: MilliSpan = MilliSpan::new(3_600_000);
+
+/// A task past its declared end is taken to end this long from now.
+const OVERDUE_RUN: MilliSpan = MilliSpan::new(60_000);
+
+/// The hold of a job, and the jobs that may get one.
+#[derive(Debug, Default)]
+pub(crate) struct RoomHold {
+    active: Option<ActiveHold>,
+    /// Jobs that waited long and did not fit when tried, by submission. May
+    /// hold jobs that are gone or placed since.
+    stuck: BTreeSet<(MilliTime, JobKey)>,
+    next_plan: MilliTime,
+}
+
+#[derive(Debug)]
+struct ActiveHold {
+    job: JobKey,
+    team: TeamKey,
+    /// The tasks that need the room; all of a gang, one of other jobs.
+    tasks: u32,
+    /// The workers marked as held.
+    workers: Vec<WorkerKey>,
+    /// When the job is expected to start.
+    start: MilliTime,
+    /// When the hold is given up.
+    until: MilliTime,
+}
+
+impl RoomHold {
+    /// Returns when the holder is expected to start.
+    pub fn expected_start(&self) -> Option<MilliTime> {
+        self.active.as_ref().map(|active| active.start)
+    }
+
+    /// Counts the held workers.
+    pub fn worker_count(&self) -> usize {
+        let active = self.active.as_ref();
+        active.map_or(0, |active| active.workers.len())
+    }
+
+    /// Returns how much of a team's allotment is kept from a job.
+    pub fn tasks_kept(&self, team: TeamKey, job: JobKey) -> u32 {
+        let active = self.active.as_ref();
+        let active = active.filter(|active| active.team == team && active.job != job);
+        active.map_or(0, |active| active.tasks)
+    }
+
+    /// Tells whether the next hold is planned in the round at `now`.
+    pub fn is_planned(&self, now: MilliTime) -> bool {
+        self.active.is_none() && now >= self.next_plan
+    }
+
+    /// Remembers a job that did not fit, if it waited long enough and a hold
+    /// is planned in this round.
+    pub fn note_stuck(&mut self, jobs: &JobTable, key: JobKey, now: MilliTime) {
+        if self.is_planned(now)
+            && let Some(job) = jobs.get(key)
+            && job.wants_hold(now)
+        {
+            self.stuck.insert((job.times.submitted, key));
+        }
+    }
+}
+
+impl JobPlacer {
+    /// Places the holder if it fits, and ends the hold if it has to.
+    pub(crate) fn serve_hold(&mut self, round: &mut DecisionRound) {
+        let Some(active) = &self.hold.active else {
+            return;
+        };
+        let (key, expired) = (active.job, round.now >= active.until);
+        if !self.jobs.get(key).is_some_and(JobState::is_due) {
+            self.end_hold();
+            return;
+        }
+        let context = TurnContext {
+            turn: TurnReason::Reserved,
+            owner: true,
+        };
+        if round.left > 0 && self.place_job(key, context, round) > 0 {
+            self.end_hold();
+        } else if expired {
+            self.totals.abandoned_holds += 1;
+            self.pause_hold(key, round.now);
+            self.end_hold();
+        }
+        round.forget_demands();
+    }
+
+    /// Gives a hold to the job that waited longest, if none is active.
+    pub(crate) fn plan_hold(&mut self, now: MilliTime) {
+        if !self.settings.holds || !self.hold.is_planned(now) || self.hold.stuck.is_empty() {
+            return;
+        }
+        self.hold.next_plan = now + PLAN_INTERVAL;
+        let stuck = std::mem::take(&mut self.hold.stuck);
+        for (_, key) in stuck.into_iter().take(PLAN_JOBS) {
+            if self.start_hold(key, now) {
+                return;
+            }
+        }
+    }
+
+    fn start_hold(&mut self, key: JobKey, now: MilliTime) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        if !job.is_due() || !job.wants_hold(now) {
+            return false;
+        }
+        let team = job.team;
+        let tasks = match job.kind {
+            WorkKind::Gang => job.task_count,
+            _ => 1,
+        };
+        let allowed = self.teams.get(team).map(|s| (s.allotment, s.headroom()));
+        let plan = match allowed {
+            Some((allotment, _)) if allotment < tasks => None,
+            Some((_, headroom)) if headroom < tasks => Some((Vec::new(), now)),
+            _ => self.plan_room(&job.demand, u64::from(tasks), now),
+        };
+        let Some((workers, start)) = plan else {
+            self.pause_hold(key, now);
+            return false;
+        };
+        for worker in &workers {
+            self.workers.hold(*worker, true);
+        }
+        self.hold.active = Some(ActiveHold {
+            job: key,
+            team,
+            tasks,
+            workers,
+            start,
+            until: now + HOLD_LIMIT,
+        });
+        true
+    }
+
+    fn end_hold(&mut self) {
+        if let Some(active) = self.hold.active.take() {
+            for worker in active.workers {
+                self.workers.hold(worker, false);
+            }
+        }
+    }
+
+    fn pause_hold(&mut self, key: JobKey, now: MilliTime) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.hold_after = now + HOLD_PAUSE;
+        }
+    }
+
+    /// Finds the workers that have room for `tasks` tasks soonest, and when,
+    /// if the placed tasks end as declared. Services are taken to stay.
+    fn plan_room(
+        &self,
+        demand: &ResourceAmount,
+        tasks: u64,
+        now: MilliTime,
+    ) -> Option<(Vec<WorkerKey>, MilliTime)> {
+        let mut free = self.free_of_large(demand);
+        let mut slots: u64 = free.values().map(|room| slots_in(room, demand)).sum();
+        let mut start = now;
+        let mut ends = self.expected_ends(&free, now).into_iter();
+        while slots < tasks {
+            let (end, worker, released) = ends.next()?;
+            let room = free.get_mut(worker)?;
+            let before = slots_in(room, demand);
+            *room += released;
+            slots += slots_in(room, demand) - before;
+            start = end;
+        }
+        let workers = free.iter();
+        let workers = workers.filter(|(_, room)| slots_in(room, demand) > 0);
+        Some((workers.map(|(worker, _)| worker).collect(), start))
+    }
+
+    /// Returns what is free on the usable workers that are large enough.
+    fn free_of_large(&self, demand: &ResourceAmount) -> SecondaryMap<WorkerKey, ResourceAmount> {
+        let large = self.workers.iter().filter(|(_, state)| {
+            state.readiness == WorkerReadiness::Usable && demand.fits_within(&state.capacity)
+        });
+        large.map(|(key, state)| (key, state.free())).collect()
+    }
+
+    /// Returns when the tasks on `workers` are expected to end, in order.
+    fn expected_ends(
+        &self,
+        workers: &SecondaryMap<WorkerKey, ResourceAmount>,
+        now: MilliTime,
+    ) -> Vec<(MilliTime, WorkerKey, ResourceAmount)> {
+        let ending = self.placements.iter().filter(|placed| {
+            placed.kind != WorkKind::Service && workers.contains_key(placed.worker)
+        });
+        let mut ends: Vec<_> = ending
+            .map(|placed| {
+                let end = placed.expected_end.unwrap_or(now + UNDECLARED_RUN);
+                let end = if end <= now { now + OVERDUE_RUN } else { end };
+                (end, placed.worker, placed.demand)
+            })
+            .collect();
+        ends.sort_by_key(|(end, worker, _)| (*end, *worker));
+        ends
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/job_table.rs
@@ -0,0 +1,181 @@
+//! The jobs and their waiting tasks.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use pimentochute_base::{
+    JobId, MilliSpan, MilliTime, PriorityClass, ResourceAmount, TaskIndex, WorkKind,
+};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::settings::{GANG_HOLD_AFTER, TASK_HOLD_AFTER};
+use crate::team_table::TeamKey;
+use crate::{JobRank, JobTimes, WaitingTask};
+
+new_key_type! {
+    /// A job in the table.
+    pub(crate) struct JobKey;
+}
+
+/// A job and its waiting tasks. A task is in `ready` or in `later` or
+/// reserved, never in two of them.
+#[derive(Debug)]
+pub(crate) struct JobState {
+    pub id: JobId,
+    pub team: TeamKey,
+    pub kind: WorkKind,
+    pub priority: PriorityClass,
+    pub demand: ResourceAmount,
+    pub task_count: u32,
+    pub times: JobTimes,
+    pub rank: JobRank,
+    /// The tasks that may be placed now.
+    pub ready: BTreeMap<TaskIndex, WaitingTask>,
+    /// The tasks that may be placed from a later time on.
+    pub later: BTreeMap<(MilliTime, TaskIndex), WaitingTask>,
+    /// The tasks decided and neither committed nor revoked.
+    pub reserved: u32,
+    /// Whether the job is in the `due` set of its team.
+    pub queued: bool,
+    /// The time under which the job is in the wake list, if it is.
+    pub wake: Option<MilliTime>,
+    /// The room gains of the fleet when the gang last did not fit.
+    pub tried_gains: Option<u64>,
+    /// The job gets no hold before this.
+    pub hold_after: MilliTime,
+}
+
+impl JobState {
+    /// Tells whether the job may be placed now.
+    pub fn is_due(&self) -> bool {
+        if self.kind == WorkKind::Gang {
+            self.ready.len() == self.task_count as usize && self.later.is_empty()
+        } else {
+            !self.ready.is_empty()
+        }
+    }
+
+    /// Counts the tasks that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.ready.len() + self.later.len()
+    }
+
+    /// Returns how long the job has waited.
+    pub fn waited(&self, now: MilliTime) -> MilliSpan {
+        now.since(self.times.submitted)
+    }
+
+    /// Tells whether the job waited long enough for a hold.
+    pub fn wants_hold(&self, now: MilliTime) -> bool {
+        let patience = match self.kind {
+            WorkKind::Gang => GANG_HOLD_AFTER,
+            _ => TASK_HOLD_AFTER,
+        };
+        self.waited(now) >= patience && now >= self.hold_after
+    }
+
+    /// Moves tasks whose time has come.
+    pub fn wake_tasks(&mut self, now: MilliTime) {
+        while let Some(entry) = self.later.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let task = entry.remove();
+            self.ready.insert(task.task, task);
+        }
+    }
+
+    /// Adds a waiting task; it becomes ready when the job is woken next.
+    pub fn add_task(&mut self, task: WaitingTask) {
+        if task.not_before == MilliTime::ZERO {
+            self.ready.insert(task.task, task);
+        } else {
+            self.later.insert((task.not_before, task.task), task);
+        }
+    }
+
+    /// Returns a waiting task.
+    pub fn find_task(&self, task: TaskIndex) -> Option<&WaitingTask> {
+        let later = || self.later.values().find(|waiting| waiting.task == task);
+        self.ready.get(&task).or_else(later)
+    }
+
+    /// Removes a waiting task.
+    pub fn drop_task(&mut self, task: TaskIndex) {
+        if self.ready.remove(&task).is_none() {
+            self.later.retain(|(_, index), _| *index != task);
+        }
+    }
+}
+
+/// All jobs.
+#[derive(Debug, Default)]
+pub(crate) struct JobTable {
+    jobs: SlotMap<JobKey, JobState>,
+    by_id: HashMap<JobId, JobKey>,
+    /// The first time of each `later` that is not empty.
+    wake: BTreeSet<(MilliTime, JobKey)>,
+}
+
+impl JobTable {
+    /// Returns a job.
+    pub fn get(&self, key: JobKey) -> Option<&JobState> {
+        self.jobs.get(key)
+    }
+
+    /// Returns a job for changes.
+    pub fn get_mut(&mut self, key: JobKey) -> Option<&mut JobState> {
+        self.jobs.get_mut(key)
+    }
+
+    /// Returns the key of a job.
+    pub fn find(&self, id: JobId) -> Option<JobKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// Returns all jobs.
+    pub fn iter(&self) -> impl Iterator<Item = &JobState> {
+        self.jobs.values()
+    }
+
+    /// Adds a job that is not there yet.
+    pub fn insert(&mut self, job: JobState) -> JobKey {
+        let id = job.id;
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, key: JobKey) -> Option<JobState> {
+        let job = self.jobs.remove(key)?;
+        self.by_id.remove(&job.id);
+        if let Some(time) = job.wake {
+            self.wake.remove(&(time, key));
+        }
+        Some(job)
+    }
+
+    /// Brings the wake list in line with a job that changed.
+    pub fn rewake(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let wanted = job.later.first_key_value().map(|((time, _), _)| *time);
+        if job.wake == wanted {
+            return;
+        }
+        if let Some(old) = job.wake {
+            self.wake.remove(&(old, key));
+        }
+        if let Some(new) = wanted {
+            self.wake.insert((new, key));
+        }
+        job.wake = wanted;
+    }
+
+    /// Returns a job with a task whose time has come.
+    pub fn next_awake(&self, now: MilliTime) -> Option<JobKey> {
+        let (time, key) = self.wake.first()?;
+        (*time <= now).then_some(*key)
+    }
+}
--- a/crates/pimentochute-schedule/src/lib.rs
+++ b/crates/pimentochute-schedule/src/lib.rs
@@ -3,16 +3,39 @@
 //! Pure functions without I/O. Time is an argument, on the wall clock of the
 //! cell records.
 
+mod class_order;
+mod decide;
 mod decision;
+mod free_index;
+mod hold;
+mod job_order;
+mod job_table;
+mod placement_table;
 mod placer;
+mod refusal;
+mod round;
+mod settings;
+mod share_scale;
 mod spec;
+mod team_order;
+mod team_table;
+mod worker_choice;
+mod worker_fit;
+mod worker_table;
 
+pub use class_order::{
+    BoundedPriority, ClassOrder, PASSES_UNTIL_TURN, StrictPriority, class_index,
+};
 pub use decision::{
     FitRule, JobRefusal, PlacementDecision, PlacementReason, PlacerStats, RefusalReason,
     TaskChoice, TurnReason,
 };
+pub use free_index::{FitScore, SearchOrder};
+pub use job_order::{FirstSubmitted, JobOrder, JobRank, JobTimes, LeastSlack, UNDATED_SLACK};
 pub use placer::JobPlacer;
-pub use settings::PlacerSettings;
+pub use settings::{GANG_HOLD_AFTER, HOLD_LIMIT, HOLD_PAUSE, PlacerSettings, TASK_HOLD_AFTER};
+pub use share_scale::ShareScale;
 pub use spec::{CommittedTask, TeamSpec, WaitingJob, WaitingTask, WorkerReadiness, WorkerSpec};
-
-mod settings;
+pub use team_order::{DominantShare, TaskShare, TeamOrder, TeamUsage};
+pub use worker_choice::AVOID_PATIENCE;
+pub use worker_fit::{BestFit, FitCandidate, RackSpread, WorkerFit, WorstFit};
--- /dev/null
+++ b/crates/pimentochute-schedule/src/placement_table.rs
@@ -0,0 +1,125 @@
+//! The placed tasks, reserved and committed.
+
+use std::collections::HashMap;
+
+use pimentochute_base::{
+    AttemptNumber, AttemptRef, JobId, MilliTime, ResourceAmount, TaskIndex, WorkKind,
+};
+use slotmap::{SlotMap, new_key_type};
+use smallvec::SmallVec;
+
+use crate::WaitingTask;
+use crate::team_table::TeamKey;
+use crate::worker_table::WorkerKey;
+
+new_key_type! {
+    /// A placed task in the table.
+    pub(crate) struct PlacedKey;
+}
+
+/// A task that uses part of a worker.
+#[derive(Debug)]
+pub(crate) struct PlacedTask {
+    pub job: JobId,
+    pub task: TaskIndex,
+    pub attempt: AttemptNumber,
+    pub team: TeamKey,
+    pub kind: WorkKind,
+    pub worker: WorkerKey,
+    pub demand: ResourceAmount,
+    pub expected_end: Option<MilliTime>,
+    /// The era of the worker that the task may probe.
+    pub probe_era: Option<u32>,
+    /// What waits again if the decision is revoked; none once committed.
+    pub reserved: Option<Box<WaitingTask>>,
+}
+
+/// All placed tasks; at most one attempt per task.
+#[derive(Debug, Default)]
+pub(crate) struct PlacementTable {
+    placed: SlotMap<PlacedKey, PlacedTask>,
+    by_task: HashMap<(JobId, TaskIndex), PlacedKey>,
+    /// The tasks of each service per worker, without zeros.
+    spread: HashMap<JobId, SmallVec<[(WorkerKey, u32); 4]>>,
+    /// The tasks in `placed` that are reserved.
+    pub reserved_count: usize,
+}
+
+impl PlacementTable {
+    /// Returns the placed attempt of a task.
+    pub fn find(&self, job: JobId, task: TaskIndex) -> Option<(PlacedKey, &PlacedTask)> {
+        let key = *self.by_task.get(&(job, task))?;
+        Some((key, self.placed.get(key)?))
+    }
+
+    /// Returns a placed attempt for changes.
+    pub fn get_mut(&mut self, key: PlacedKey) -> Option<&mut PlacedTask> {
+        self.placed.get_mut(key)
+    }
+
+    /// Returns all placed tasks.
+    pub fn iter(&self) -> impl Iterator<Item = &PlacedTask> {
+        self.placed.values()
+    }
+
+    /// Counts the placed tasks.
+    pub fn len(&self) -> usize {
+        self.placed.len()
+    }
+
+    /// Returns the attempts that are reserved.
+    pub fn reservations(&self) -> Vec<AttemptRef> {
+        let reserved = self.iter().filter(|placed| placed.reserved.is_some());
+        reserved
+            .map(|placed| AttemptRef {
+                job: placed.job,
+                task: placed.task,
+                attempt: placed.attempt,
+            })
+            .collect()
+    }
+
+    /// Returns the tasks of a service per worker.
+    pub fn spread_of(&self, job: JobId) -> &[(WorkerKey, u32)] {
+        self.spread.get(&job).map_or(&[], SmallVec::as_slice)
+    }
+
+    /// Adds a task of which no attempt is placed.
+    pub fn insert(&mut self, placed: PlacedTask) {
+        if placed.kind == WorkKind::Service {
+            let spread = self.spread.entry(placed.job).or_default();
+            match spread.iter_mut().find(|(key, _)| *key == placed.worker) {
+                Some((_, count)) => *count += 1,
+                None => spread.push((placed.worker, 1)),
+            }
+        }
+        self.reserved_count += usize::from(placed.reserved.is_some());
+        let task = (placed.job, placed.task);
+        let key = self.placed.insert(placed);
+        self.by_task.insert(task, key);
+    }
+
+    /// Removes a placed task.
+    pub fn remove(&mut self, key: PlacedKey) -> Option<PlacedTask> {
+        let placed = self.placed.remove(key)?;
+        self.by_task.remove(&(placed.job, placed.task));
+        self.reserved_count -= usize::from(placed.reserved.is_some());
+        if placed.kind == WorkKind::Service {
+            self.thin_spread(placed.job, placed.worker);
+        }
+        Some(placed)
+    }
+
+    fn thin_spread(&mut self, job: JobId, worker: WorkerKey) {
+        let Some(spread) = self.spread.get_mut(&job) else {
+            return;
+        };
+        if let Some((_, count)) = spread.iter_mut().find(|(key, _)| *key == worker) {
+            *count = count.saturating_sub(1);
+        }
+        spread.retain(|(_, count)| *count > 0);
+        if spread.is_empty() {
+            self.spread.remove(&job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/refusal.rs
@@ -0,0 +1,58 @@
+//! The jobs that can never run.
+
+use pimentochute_base::WorkKind;
+
+use crate::job_table::JobState;
+use crate::round::DemandList;
+use crate::{JobPlacer, JobRefusal, RefusalReason};
+
+impl JobPlacer {
+    /// Returns the jobs that can never run as things stand.
+    ///
+    /// Workers count whatever their readiness. Nothing is refused while no
+    /// worker or not the job's team is known; the caller asks only once it has
+    /// passed on all workers. Looks at every waiting job.
+    #[must_use]
+    pub fn refusals(&self) -> Vec<JobRefusal> {
+        if self.workers.whole.is_empty() {
+            return Vec::new();
+        }
+        let mut too_large = DemandList::default();
+        let refused = self.jobs.iter().filter_map(|job| {
+            let team = self.teams.get(job.team).filter(|team| team.known)?;
+            let reason = self.refusal_of(job, team.allotment, &mut too_large)?;
+            Some(JobRefusal {
+                job: job.id,
+                team: team.name.clone(),
+                reason,
+            })
+        });
+        refused.collect()
+    }
+
+    fn refusal_of(
+        &self,
+        job: &JobState,
+        allotment: u32,
+        too_large: &mut DemandList,
+    ) -> Option<RefusalReason> {
+        if job.waiting_count() == 0 {
+            return None;
+        }
+        let demand = job.demand;
+        if too_large.covers(&demand) || self.workers.whole.room_for(&demand, 1) == 0 {
+            too_large.add(demand);
+            return Some(RefusalReason::TooLarge { demand });
+        }
+        if job.kind != WorkKind::Gang {
+            return None;
+        }
+        let tasks = job.task_count;
+        if tasks > allotment {
+            return Some(RefusalReason::OverAllotment { tasks, allotment });
+        }
+        let room = self.workers.whole.room_for(&demand, u64::from(tasks));
+        let room = u32::try_from(room).unwrap_or(u32::MAX);
+        (room < tasks).then_some(RefusalReason::GangTooLarge { tasks, room })
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/share_scale.rs
@@ -0,0 +1,66 @@
+//! Dominant shares without division.
+
+use pimentochute_base::ResourceAmount;
+
+/// The full capacity on the scale; leaves 2^16 steps for a fleet of 268,000
+/// cores.
+const WHOLE: u64 = 1 << 44;
+
+/// The largest part of an amount; larger ones are cut so that sums over a
+/// fleet stay in range.
+const MAX_PART: u64 = 1 << 44;
+
+/// Turns amounts into dominant shares of a fixed total.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ShareScale {
+    cpu: u64,
+    memory: u64,
+    accelerators: u64,
+}
+
+impl ShareScale {
+    /// Creates the scale of a total; a part that it has none of counts zero.
+    #[must_use]
+    pub fn new(total: &ResourceAmount) -> Self {
+        let factor = |part: u64| WHOLE.checked_div(part).unwrap_or(0);
+        Self {
+            cpu: factor(total.cpu_millis),
+            memory: factor(total.memory_mib),
+            accelerators: factor(total.accelerators),
+        }
+    }
+
+    /// Returns the largest part relative to the total, which is 2^44.
+    #[must_use]
+    pub fn dominant(&self, amount: &ResourceAmount) -> u64 {
+        let cpu = amount.cpu_millis.saturating_mul(self.cpu);
+        let memory = amount.memory_mib.saturating_mul(self.memory);
+        let accelerators = amount.accelerators.saturating_mul(self.accelerators);
+        cpu.max(memory).max(accelerators)
+    }
+
+    /// Returns the sum of the parts relative to the total.
+    #[must_use]
+    pub fn sum(&self, amount: &ResourceAmount) -> u64 {
+        let cpu = amount.cpu_millis.saturating_mul(self.cpu);
+        let memory = amount.memory_mib.saturating_mul(self.memory);
+        let accelerators = amount.accelerators.saturating_mul(self.accelerators);
+        cpu.saturating_add(memory).saturating_add(accelerators)
+    }
+
+    /// Returns the dominant share in parts per million.
+    #[must_use]
+    pub fn dominant_ppm(&self, amount: &ResourceAmount) -> u64 {
+        let share = u128::from(self.dominant(amount)) * 1_000_000 / u128::from(WHOLE);
+        u64::try_from(share).unwrap_or(u64::MAX)
+    }
+}
+
+/// Cuts the parts of an amount to a range in which sums do not overflow.
+pub(crate) fn bounded(amount: ResourceAmount) -> ResourceAmount {
+    ResourceAmount {
+        cpu_millis: amount.cpu_millis.min(MAX_PART),
+        memory_mib: amount.memory_mib.min(MAX_PART),
+        accelerators: amount.accelerators.min(MAX_PART),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/team_table.rs
@@ -0,0 +1,169 @@
+//! The teams, what they use and their jobs that are due.
+
+use std::collections::{BTreeSet, HashMap};
+
+use pimentochute_base::{ResourceAmount, TeamName};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::class_order::CLASS_COUNT;
+use crate::job_table::JobKey;
+use crate::{JobRank, ShareScale, TeamOrder, TeamSpec, TeamUsage};
+
+new_key_type! {
+    /// A team in the table.
+    pub(crate) struct TeamKey;
+}
+
+/// A team, its tasks and its jobs that are due.
+#[derive(Debug)]
+pub(crate) struct TeamState {
+    pub name: TeamName,
+    pub share: u32,
+    /// Zero while the team is not known.
+    pub allotment: u32,
+    /// Whether the team was set and not removed since.
+    pub known: bool,
+    /// The tasks placed, reserved ones included. Decisions never raise it
+    /// above `allotment`; a lowered allotment may be below it.
+    pub placed: u32,
+    /// The sum over those tasks.
+    pub used: ResourceAmount,
+    /// The jobs in the table that belong to the team.
+    pub jobs: u32,
+    /// The jobs with tasks due, per class.
+    pub due: [BTreeSet<(JobRank, JobKey)>; CLASS_COUNT],
+    /// The rank under which the team is in the queue of a class, if it is.
+    queued: [Option<u64>; CLASS_COUNT],
+}
+
+impl TeamState {
+    fn new(name: TeamName) -> Self {
+        Self {
+            name,
+            share: 1,
+            allotment: 0,
+            known: false,
+            placed: 0,
+            used: ResourceAmount::ZERO,
+            jobs: 0,
+            due: Default::default(),
+            queued: [None; CLASS_COUNT],
+        }
+    }
+
+    /// Returns how many more tasks the allotment allows.
+    pub fn headroom(&self) -> u32 {
+        self.allotment.saturating_sub(self.placed)
+    }
+}
+
+/// All teams, and the teams with jobs due by class and rank.
+#[derive(Debug, Default)]
+pub(crate) struct TeamTable {
+    teams: SlotMap<TeamKey, TeamState>,
+    by_name: HashMap<TeamName, TeamKey>,
+    /// Exactly the known teams whose `due` of the class is not empty.
+    queues: [BTreeSet<(u64, TeamKey)>; CLASS_COUNT],
+}
+
+impl TeamTable {
+    /// Returns a team.
+    pub fn get(&self, key: TeamKey) -> Option<&TeamState> {
+        self.teams.get(key)
+    }
+
+    /// Returns a team for changes; [`TeamTable::refresh`] has to follow.
+    pub fn get_mut(&mut self, key: TeamKey) -> Option<&mut TeamState> {
+        self.teams.get_mut(key)
+    }
+
+    /// Returns the key of a team.
+    pub fn find(&self, name: &TeamName) -> Option<TeamKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns all keys.
+    pub fn keys(&self) -> Vec<TeamKey> {
+        self.teams.keys().collect()
+    }
+
+    /// Counts the known teams.
+    pub fn known_count(&self) -> usize {
+        self.teams.values().filter(|state| state.known).count()
+    }
+
+    /// Returns the key of a team, which becomes an unknown one if it is not
+    /// there.
+    pub fn key_of(&mut self, name: TeamName) -> TeamKey {
+        if let Some(key) = self.find(&name) {
+            return key;
+        }
+        let key = self.teams.insert(TeamState::new(name.clone()));
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Adds or replaces a team.
+    pub fn set(&mut self, spec: TeamSpec) -> TeamKey {
+        let key = self.key_of(spec.name);
+        if let Some(state) = self.teams.get_mut(key) {
+            state.share = spec.share.max(1);
+            state.allotment = spec.allotment;
+            state.known = true;
+        }
+        key
+    }
+
+    /// Returns the team after `after` in the queue of a class.
+    pub fn next_in(&self, class: usize, after: Option<(u64, TeamKey)>) -> Option<(u64, TeamKey)> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let queue = &self.queues[class];
+        match after {
+            None => queue.first().copied(),
+            Some(last) => queue.range((Excluded(last), Unbounded)).next().copied(),
+        }
+    }
+
+    /// Tells which classes have jobs due.
+    pub fn classes_due(&self) -> [bool; CLASS_COUNT] {
+        std::array::from_fn(|class| !self.queues[class].is_empty())
+    }
+
+    /// Returns the rank of a team.
+    pub fn rank(&self, key: TeamKey, order: &dyn TeamOrder, scale: &ShareScale) -> u64 {
+        self.teams.get(key).map_or(u64::MAX, |state| {
+            order.rank(&TeamUsage {
+                used: &state.used,
+                tasks: state.placed,
+                share: state.share,
+                scale,
+            })
+        })
+    }
+
+    /// Brings the queues in line with a team that changed, and forgets the
+    /// team if nothing refers to it.
+    pub fn refresh(&mut self, key: TeamKey, order: &dyn TeamOrder, scale: &ShareScale) {
+        let rank = self.rank(key, order, scale);
+        let Some(state) = self.teams.get_mut(key) else {
+            return;
+        };
+        for class in 0..CLASS_COUNT {
+            let wanted = (state.known && !state.due[class].is_empty()).then_some(rank);
+            if state.queued[class] == wanted {
+                continue;
+            }
+            if let Some(old) = state.queued[class] {
+                self.queues[class].remove(&(old, key));
+            }
+            if let Some(new) = wanted {
+                self.queues[class].insert((new, key));
+            }
+            state.queued[class] = wanted;
+        }
+        if !state.known && state.placed == 0 && state.jobs == 0 {
+            self.by_name.remove(&state.name);
+            self.teams.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/worker_choice.rs
@@ -0,0 +1,225 @@
+//! The choice of a worker for one task.
+
+use pimentochute_base::{MilliSpan, PriorityClass, ResourceAmount, WorkKind};
+use slotmap::SecondaryMap;
+use smallvec::SmallVec;
+
+use crate::free_index::{FreeIndex, FreeQuery};
+use crate::job_table::{JobKey, JobState};
+use crate::round::DecisionRound;
+use crate::worker_table::{RackKey, WorkerKey};
+use crate::{
+    FitCandidate, FitRule, FitScore, JobPlacer, SearchOrder, WaitingTask, WorkerFit,
+    WorkerReadiness,
+};
+
+/// A task waits this long for another worker before it is repeated on one
+/// that it failed on.
+pub const AVOID_PATIENCE: MilliSpan = MilliSpan::new(60_000);
+
+/// The workers that a task failed on.
+type AvoidList = SmallVec<[WorkerKey; 2]>;
+
+impl JobPlacer {
+    /// Chooses a worker for a task; none if it has to wait.
+    pub(crate) fn choose_worker(
+        &self,
+        key: JobKey,
+        task: &WaitingTask,
+        owner: bool,
+        round: &mut DecisionRound,
+    ) -> Option<(WorkerKey, FitRule)> {
+        let job = self.jobs.get(key)?;
+        let avoid = self.avoid_list(task);
+        if is_probe_task(job, task)
+            && let Some(worker) = self.probe_worker(job, &avoid)
+        {
+            return Some((worker, FitRule::Probe));
+        }
+        if owner && let Some(worker) = self.search(&self.workers.kept, job, &avoid) {
+            return Some((worker, self.fit_of(job).rule()));
+        }
+        if let Some(worker) = self.search_open(job, &avoid, round) {
+            return Some((worker, self.fit_of(job).rule()));
+        }
+        if let Some(worker) = self.search_held(job, &avoid, round) {
+            return Some((worker, FitRule::Backfill));
+        }
+        if job.kind != WorkKind::Gang
+            && let Some(worker) = self.probe_worker(job, &avoid)
+        {
+            return Some((worker, FitRule::Probe));
+        }
+        let worker = self.repeat_worker(job, task, &avoid, round)?;
+        Some((worker, FitRule::Repeated))
+    }
+
+    /// Tells whether some worker could hold `demand` when empty, other than
+    /// those to avoid.
+    pub(crate) fn could_hold(&self, demand: &ResourceAmount, avoid: &[WorkerKey]) -> bool {
+        let score = |worker, _: &ResourceAmount| {
+            let state = self.workers.get(worker)?;
+            let usable = state.readiness == WorkerReadiness::Usable;
+            (usable && !avoid.contains(&worker)).then_some(ANY_WORKER)
+        };
+        let query = FreeQuery {
+            demand: *demand,
+            order: SearchOrder::Emptiest,
+            budget: usize::MAX,
+            score: &score,
+        };
+        self.workers.whole.search(&query).is_some()
+    }
+
+    fn search_open(
+        &self,
+        job: &JobState,
+        avoid: &[WorkerKey],
+        round: &mut DecisionRound,
+    ) -> Option<WorkerKey> {
+        if round.no_room.covers(&job.demand) {
+            return None;
+        }
+        let found = self.search(&self.workers.open, job, avoid);
+        if found.is_none() && avoid.is_empty() {
+            round.no_room.add(job.demand);
+        }
+        found
+    }
+
+    /// Finds held room for a task that is declared to end before the job that
+    /// the room is kept for is expected to start.
+    fn search_held(
+        &self,
+        job: &JobState,
+        avoid: &[WorkerKey],
+        round: &mut DecisionRound,
+    ) -> Option<WorkerKey> {
+        let start = self.hold.expected_start()?;
+        let ends = round.now + job.times.expected_run?;
+        if job.kind != WorkKind::Batch || ends > start || round.no_backfill.covers(&job.demand) {
+            return None;
+        }
+        let found = self.search(&self.workers.kept, job, avoid);
+        if found.is_none() && avoid.is_empty() {
+            round.no_backfill.add(job.demand);
+        }
+        found
+    }
+
+    fn search(&self, index: &FreeIndex, job: &JobState, avoid: &[WorkerKey]) -> Option<WorkerKey> {
+        if index.is_empty() {
+            return None;
+        }
+        let fit = self.fit_of(job);
+        let spread = if fit.counts_tasks() {
+            self.placements.spread_of(job.id)
+        } else {
+            &[]
+        };
+        let racks = self.rack_counts(spread);
+        let score = |worker, free: &ResourceAmount| {
+            if avoid.contains(&worker) {
+                return None;
+            }
+            let (worker_tasks, rack_tasks) = self.tasks_near(worker, spread, &racks);
+            Some(fit.score(&FitCandidate {
+                left: free.saturating_sub(&job.demand),
+                worker_tasks,
+                rack_tasks,
+                scale: self.workers.scale(),
+            }))
+        };
+        index.search(&FreeQuery {
+            demand: job.demand,
+            order: fit.order(),
+            budget: fit.budget(),
+            score: &score,
+        })
+    }
+
+    /// Finds a quarantined worker that needs a probe and has room.
+    fn probe_worker(&self, job: &JobState, avoid: &[WorkerKey]) -> Option<WorkerKey> {
+        let mut probes = self.workers.probes.iter().copied();
+        probes.find(|worker| {
+            let state = self.workers.get(*worker);
+            let fits = state.is_some_and(|s| s.admits_probe() && job.demand.fits_within(&s.free()));
+            fits && !avoid.contains(worker)
+        })
+    }
+
+    /// Finds a worker that the task failed on, if no other will do.
+    fn repeat_worker(
+        &self,
+        job: &JobState,
+        task: &WaitingTask,
+        avoid: &[WorkerKey],
+        round: &DecisionRound,
+    ) -> Option<WorkerKey> {
+        let since = task.not_before.max(job.times.submitted);
+        let patient = round.now.since(since) < AVOID_PATIENCE;
+        if avoid.is_empty() || (patient && self.could_hold(&job.demand, avoid)) {
+            return None;
+        }
+        avoid.iter().copied().find(|worker| {
+            self.workers.get(*worker).is_some_and(|state| {
+                let usable = state.known && state.readiness == WorkerReadiness::Usable;
+                usable && !state.held && job.demand.fits_within(&state.free())
+            })
+        })
+    }
+
+    fn fit_of(&self, job: &JobState) -> &dyn WorkerFit {
+        match job.kind {
+            WorkKind::Service => self.settings.service_fit.as_ref(),
+            _ => self.settings.task_fit.as_ref(),
+        }
+    }
+
+    fn avoid_list(&self, task: &WaitingTask) -> AvoidList {
+        let names = task.avoid.iter();
+        names.filter_map(|name| self.workers.find(name)).collect()
+    }
+
+    fn rack_counts(&self, spread: &[(WorkerKey, u32)]) -> SecondaryMap<RackKey, u32> {
+        let mut racks = SecondaryMap::new();
+        for (worker, count) in spread {
+            if let Some(rack) = self.workers.get(*worker).and_then(|state| state.rack) {
+                let before = racks.get(rack).copied().unwrap_or(0);
+                racks.insert(rack, before + count);
+            }
+        }
+        racks
+    }
+
+    /// Counts the tasks of a service on a worker and in its rack.
+    fn tasks_near(
+        &self,
+        worker: WorkerKey,
+        spread: &[(WorkerKey, u32)],
+        racks: &SecondaryMap<RackKey, u32>,
+    ) -> (u32, u32) {
+        if spread.is_empty() {
+            return (0, 0);
+        }
+        let here = spread.iter().find(|(key, _)| *key == worker);
+        let rack = self.workers.get(worker).and_then(|state| state.rack);
+        let near = rack.and_then(|rack| racks.get(rack));
+        (
+            here.map_or(0, |(_, count)| *count),
+            near.copied().unwrap_or(0),
+        )
+    }
+}
+
+/// The score of a worker when any will do.
+const ANY_WORKER: FitScore = FitScore {
+    penalty: 0,
+    leftover: 0,
+};
+
+/// Tells whether a task may be risked on a quarantined worker although others
+/// have room: a first attempt that nothing else depends on.
+fn is_probe_task(job: &JobState, task: &WaitingTask) -> bool {
+    job.kind == WorkKind::Batch && job.priority != PriorityClass::Urgent && task.attempt.get() == 1
+}
--- /dev/null
+++ b/crates/pimentochute-schedule/src/worker_table.rs
@@ -0,0 +1,282 @@
+//! The workers and what is free on them.
+
+use std::collections::{BTreeSet, HashMap};
+
+use pimentochute_base::{RackName, ResourceAmount, WorkerIncarnation, WorkerName};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::free_index::FreeIndex;
+use crate::share_scale::{ShareScale, bounded};
+use crate::{WorkerReadiness, WorkerSpec};
+
+new_key_type! {
+    /// A worker in the table.
+    pub(crate) struct WorkerKey;
+    /// A rack in the table.
+    pub(crate) struct RackKey;
+}
+
+/// A worker and what its tasks use.
+#[derive(Debug)]
+pub(crate) struct WorkerState {
+    pub name: WorkerName,
+    pub incarnation: WorkerIncarnation,
+    pub rack: Option<RackKey>,
+    /// Nothing while the worker is not known.
+    pub capacity: ResourceAmount,
+    pub readiness: WorkerReadiness,
+    /// Whether the worker was set and not removed since.
+    pub known: bool,
+    /// The sum over the tasks placed here. May exceed `capacity` if the cell
+    /// records do not agree with it yet; then nothing is free.
+    pub used: ResourceAmount,
+    pub tasks: u32,
+    /// Counts how often the worker stopped being usable.
+    pub probe_era: u32,
+    /// Tasks placed in `probe_era` while the worker was not usable; a probe
+    /// worker is given one only if there is none.
+    pub probe_tasks: u32,
+    /// Whether the room is kept for a job that waited long.
+    pub held: bool,
+}
+
+impl WorkerState {
+    /// Returns what is free, whatever the readiness.
+    pub fn free(&self) -> ResourceAmount {
+        self.capacity.saturating_sub(&self.used)
+    }
+
+    /// Tells whether a probe worker may be given a task.
+    pub fn admits_probe(&self) -> bool {
+        self.known && self.readiness == WorkerReadiness::Probe && self.probe_tasks == 0
+    }
+}
+
+/// All workers. `open`, `kept` and `probes` are disjoint.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerTable {
+    workers: SlotMap<WorkerKey, WorkerState>,
+    by_name: HashMap<WorkerName, WorkerKey>,
+    racks: SlotMap<RackKey, RackName>,
+    rack_names: HashMap<RackName, RackKey>,
+    /// The usable workers that are not held, by free amount.
+    pub open: FreeIndex,
+    /// The usable workers that are held, by free amount.
+    pub kept: FreeIndex,
+    /// The probe workers.
+    pub probes: BTreeSet<WorkerKey>,
+    /// The known workers by capacity.
+    pub whole: FreeIndex,
+    /// The sum over the usable workers.
+    total: ResourceAmount,
+    /// Made from `total`.
+    scale: ShareScale,
+    /// The sum of `used` over all workers.
+    pub used: ResourceAmount,
+    /// Counts the changes after which a task may fit that did not fit before.
+    pub gains: u64,
+}
+
+impl WorkerTable {
+    /// Returns a worker.
+    pub fn get(&self, key: WorkerKey) -> Option<&WorkerState> {
+        self.workers.get(key)
+    }
+
+    /// Returns the key of a worker.
+    pub fn find(&self, name: &WorkerName) -> Option<WorkerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns all workers with their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &WorkerState)> {
+        self.workers.iter()
+    }
+
+    /// Counts the known workers.
+    pub fn known_count(&self) -> usize {
+        self.workers.values().filter(|state| state.known).count()
+    }
+
+    /// Returns the scale of shares of the usable capacity.
+    pub fn scale(&self) -> &ShareScale {
+        &self.scale
+    }
+
+    /// Returns the capacity of the usable workers.
+    pub fn total(&self) -> ResourceAmount {
+        self.total
+    }
+
+    /// Adds or replaces a worker.
+    pub fn set(&mut self, spec: WorkerSpec) {
+        let rack = self.rack_key(spec.rack);
+        let key = self.key_of(spec.name);
+        self.discount(key);
+        let Some(state) = self.workers.get_mut(key) else {
+            return;
+        };
+        let stops = spec.readiness != WorkerReadiness::Usable
+            && state.known
+            && state.readiness == WorkerReadiness::Usable;
+        if stops {
+            state.probe_era = state.probe_era.wrapping_add(1);
+            state.probe_tasks = 0;
+        }
+        state.incarnation = spec.incarnation;
+        state.rack = Some(rack);
+        state.capacity = bounded(spec.capacity);
+        state.readiness = spec.readiness;
+        state.known = true;
+        self.recount(key);
+        self.gains += 1;
+        self.scale = ShareScale::new(&self.total);
+    }
+
+    /// Forgets the capacity of a worker; it stays while tasks are on it.
+    pub fn remove(&mut self, name: &WorkerName) {
+        let Some(key) = self.find(name) else {
+            return;
+        };
+        self.discount(key);
+        if let Some(state) = self.workers.get_mut(key) {
+            state.known = false;
+            state.capacity = ResourceAmount::ZERO;
+            state.readiness = WorkerReadiness::Unusable;
+        }
+        self.scale = ShareScale::new(&self.total);
+        self.drop_if_idle(key);
+    }
+
+    /// Returns the key of a worker, which becomes an entry without capacity
+    /// if it is not there.
+    pub fn key_of(&mut self, name: WorkerName) -> WorkerKey {
+        if let Some(key) = self.find(&name) {
+            return key;
+        }
+        let key = self.workers.insert(WorkerState {
+            name: name.clone(),
+            incarnation: WorkerIncarnation::new(0),
+            rack: None,
+            capacity: ResourceAmount::ZERO,
+            readiness: WorkerReadiness::Unusable,
+            known: false,
+            used: ResourceAmount::ZERO,
+            tasks: 0,
+            probe_era: 0,
+            probe_tasks: 0,
+            held: false,
+        });
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Counts a task on a worker. Returns the era if it may be a probe.
+    pub fn take(&mut self, key: WorkerKey, demand: &ResourceAmount) -> Option<u32> {
+        let state = self.workers.get_mut(key)?;
+        state.used += *demand;
+        state.tasks += 1;
+        self.used += *demand;
+        let probing = state.readiness != WorkerReadiness::Usable;
+        let era = probing.then_some(state.probe_era);
+        if probing {
+            state.probe_tasks += 1;
+        }
+        self.reindex(key);
+        era
+    }
+
+    /// Takes a task off a worker.
+    pub fn give(&mut self, key: WorkerKey, demand: &ResourceAmount, era: Option<u32>) {
+        let Some(state) = self.workers.get_mut(key) else {
+            return;
+        };
+        state.used = state.used.saturating_sub(demand);
+        state.tasks = state.tasks.saturating_sub(1);
+        self.used = self.used.saturating_sub(demand);
+        self.gains += 1;
+        if era == Some(state.probe_era) {
+            state.probe_tasks = state.probe_tasks.saturating_sub(1);
+        }
+        self.reindex(key);
+        self.drop_if_idle(key);
+    }
+
+    /// Sets whether a worker's room is kept for a waiting job.
+    pub fn hold(&mut self, key: WorkerKey, held: bool) {
+        if let Some(state) = self.workers.get_mut(key) {
+            state.held = held;
+            self.gains += 1;
+            self.reindex(key);
+        }
+    }
+
+    /// Moves the worker to the index that matches its state.
+    fn reindex(&mut self, key: WorkerKey) {
+        let Some(state) = self.workers.get(key) else {
+            return;
+        };
+        let usable = state.known && state.readiness == WorkerReadiness::Usable;
+        let free = state.free();
+        if usable && state.held {
+            self.open.remove(key);
+            self.kept.set(key, free);
+        } else if usable {
+            self.kept.remove(key);
+            self.open.set(key, free);
+        } else {
+            self.open.remove(key);
+            self.kept.remove(key);
+        }
+    }
+
+    /// Takes a worker out of the sums and indexes before it changes.
+    fn discount(&mut self, key: WorkerKey) {
+        if let Some(state) = self.workers.get(key)
+            && state.known
+        {
+            if state.readiness == WorkerReadiness::Usable {
+                self.total = self.total.saturating_sub(&state.capacity);
+            }
+            self.whole.remove(key);
+            self.open.remove(key);
+            self.kept.remove(key);
+            self.probes.remove(&key);
+        }
+    }
+
+    /// Puts a known worker back into the sums and indexes.
+    fn recount(&mut self, key: WorkerKey) {
+        if let Some(state) = self.workers.get(key) {
+            match state.readiness {
+                WorkerReadiness::Usable => self.total += state.capacity,
+                WorkerReadiness::Probe => {
+                    self.probes.insert(key);
+                }
+                WorkerReadiness::Unusable => {}
+            }
+            self.whole.set(key, state.capacity);
+            self.reindex(key);
+        }
+    }
+
+    fn drop_if_idle(&mut self, key: WorkerKey) {
+        if let Some(state) = self.workers.get(key)
+            && !state.known
+            && state.tasks == 0
+        {
+            self.by_name.remove(&state.name);
+            self.workers.remove(key);
+        }
+    }
+
+    /// Racks are few and are never forgotten.
+    fn rack_key(&mut self, name: RackName) -> RackKey {
+        if let Some(key) = self.rack_names.get(&name) {
+            return *key;
+        }
+        let key = self.racks.insert(name.clone());
+        self.rack_names.insert(name, key);
+        key
+    }
+}
