Route requests with slots, permits, fair queue, retries and a pool

Cause: the router refused every request. Change: admission by permit and weighted fair queue, slots held while an attempt may run, attempts with at-most-once, retry budget, connection pool with probes and circuit breaker, forwards to peers, drain and counters.

--- /dev/null
+++ b/crates/pimentochute-route/src/attempt.rs
@@ -0,0 +1,246 @@
+//! One attempt at an endpoint: connection, probe and sending.
+
+use std::sync::Arc;
+
+use pimentochute_base::{EndpointName, MilliSpan, MilliTime};
+use pimentochute_platform::{DispatchError, EndpointAnswer, EndpointRequest};
+use tokio::time::timeout;
+
+use crate::endpoint::{EndpointKey, EndpointState, IdleConnection};
+use crate::guard::ConnectionGuard;
+use crate::shared::RouterShared;
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(crate) enum AttemptEnd {
+    /// A whole answer was received.
+    Answered(EndpointAnswer),
+    /// The endpoint states that it did not run the request.
+    Refused,
+    /// No byte of the request can have reached the endpoint.
+    NotSent(&'static str),
+    /// The request may have run and has no whole answer.
+    Unknown(&'static str),
+}
+
+/// What is needed to open a connection.
+struct ConnectPlan {
+    guard: ConnectionGuard,
+    address: std::net::SocketAddr,
+    /// Whether a new connection is probed too, because the endpoint failed
+    /// lately: a stopped process still accepts connections, and a request
+    /// sent on one would have an unknown outcome.
+    suspect: bool,
+}
+
+/// The first step to a connection.
+enum ConnectStep {
+    /// A connection that was used lately.
+    Ready(ConnectionGuard),
+    /// A connection to probe first.
+    Probe(ConnectionGuard),
+    /// A connection to open.
+    Open(ConnectPlan),
+    /// The endpoint takes no new request.
+    Gone,
+}
+
+impl RouterShared {
+    /// Returns an endpoint's name.
+    pub(crate) fn endpoint_name(&self, key: EndpointKey) -> Option<EndpointName> {
+        let state = self.lock();
+        state.endpoints.get(key).map(|e| e.spec.name.clone())
+    }
+
+    /// Tells whether an endpoint takes new requests.
+    pub(crate) fn is_live(&self, key: EndpointKey) -> bool {
+        let state = self.lock();
+        state.endpoints.get(key).is_some_and(EndpointState::is_live)
+    }
+
+    /// Returns a connection that works as far as can be known without sending
+    /// the request. Takes at most one probe, one connect and one more probe.
+    pub(crate) async fn connection(
+        self: &Arc<Self>,
+        key: EndpointKey,
+        deadline: MilliTime,
+    ) -> Result<ConnectionGuard, &'static str> {
+        match self.first_step(key) {
+            ConnectStep::Ready(guard) => return Ok(guard),
+            ConnectStep::Gone => return Err("endpoint is leaving"),
+            ConnectStep::Open(plan) => return self.open(key, plan, deadline).await,
+            ConnectStep::Probe(guard) => {
+                if let Ok(guard) = self.probe(key, guard, deadline).await {
+                    return Ok(guard);
+                }
+            }
+        }
+        // The other idle connections were idle for longer and would cost one
+        // probe time each; a new connection answers sooner.
+        self.close_idle(key);
+        match self.plan_open(key) {
+            Some(plan) => self.open(key, plan, deadline).await,
+            None => Err("endpoint is leaving"),
+        }
+    }
+
+    fn first_step(self: &Arc<Self>, key: EndpointKey) -> ConnectStep {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let endpoint = state.endpoints.get_mut(key).filter(|e| e.is_live());
+        let Some(endpoint) = endpoint else {
+            return ConnectStep::Gone;
+        };
+        let generation = endpoint.generation;
+        if let Some((IdleConnection { connection, .. }, idle)) = endpoint.take_idle(now) {
+            let fresh = idle < self.settings.probe_after && !endpoint.breaker.is_suspect();
+            drop(state);
+            let guard = ConnectionGuard::new(Arc::clone(self), key, generation, Some(connection));
+            return if fresh {
+                ConnectStep::Ready(guard)
+            } else {
+                ConnectStep::Probe(guard)
+            };
+        }
+        drop(state);
+        self.plan_open(key)
+            .map_or(ConnectStep::Gone, ConnectStep::Open)
+    }
+
+    /// Counts a connection that is about to be opened.
+    fn plan_open(self: &Arc<Self>, key: EndpointKey) -> Option<ConnectPlan> {
+        let mut state = self.lock();
+        let endpoint = state.endpoints.get_mut(key).filter(|e| e.is_live())?;
+        endpoint.connections += 1;
+        let generation = endpoint.generation;
+        let address = endpoint.spec.address;
+        let suspect = endpoint.breaker.is_suspect();
+        drop(state);
+        Some(ConnectPlan {
+            guard: ConnectionGuard::new(Arc::clone(self), key, generation, None),
+            address,
+            suspect,
+        })
+    }
+
+    async fn open(
+        self: &Arc<Self>,
+        key: EndpointKey,
+        mut plan: ConnectPlan,
+        deadline: MilliTime,
+    ) -> Result<ConnectionGuard, &'static str> {
+        let span = self.settings.connect_timeout.min(self.time_left(deadline));
+        let connect = self.dialer.connect(plan.address, span);
+        let Ok(Ok(connection)) = timeout(span.as_duration(), connect).await else {
+            self.note_connect(key, false, span);
+            return Err("connect failed");
+        };
+        plan.guard.open(connection);
+        if plan.suspect {
+            return self.probe(key, plan.guard, deadline).await;
+        }
+        self.note_connect(key, true, span);
+        Ok(plan.guard)
+    }
+
+    /// Probes a connection; closes it if it does not answer in time.
+    async fn probe(
+        self: &Arc<Self>,
+        key: EndpointKey,
+        mut guard: ConnectionGuard,
+        deadline: MilliTime,
+    ) -> Result<ConnectionGuard, &'static str> {
+        let span = self.settings.probe_timeout.min(self.time_left(deadline));
+        let Some(connection) = guard.get() else {
+            return Err("connection is closed");
+        };
+        let probe = timeout(span.as_duration(), connection.probe(span)).await;
+        let answered = matches!(probe, Ok(Ok(())));
+        self.note_probe(key, answered, span);
+        if answered {
+            Ok(guard)
+        } else {
+            Err("probe failed")
+        }
+    }
+
+    fn note_connect(&self, key: EndpointKey, opened: bool, span: MilliSpan) {
+        let mut state = self.lock();
+        if opened {
+            state.stats.connects += 1;
+        } else {
+            state.stats.connect_failures += 1;
+        }
+        let cut = span < self.settings.connect_timeout;
+        drop(state);
+        self.note_health(key, opened, cut);
+    }
+
+    fn note_probe(&self, key: EndpointKey, answered: bool, span: MilliSpan) {
+        self.lock().stats.probe_failures += u64::from(!answered);
+        let cut = span < self.settings.probe_timeout;
+        self.note_health(key, answered, cut);
+    }
+
+    /// Tells the endpoint's breaker; a failure in a time that a caller's
+    /// deadline cut short says nothing about the endpoint.
+    fn note_health(&self, key: EndpointKey, healthy: bool, cut: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(endpoint) = state.endpoints.get_mut(key) else {
+            return;
+        };
+        if healthy {
+            endpoint.breaker.succeed();
+        } else if !cut {
+            endpoint.breaker.fail(now, &self.settings);
+        }
+    }
+
+    fn close_idle(&self, key: EndpointKey) {
+        let mut state = self.lock();
+        let closed = state
+            .endpoints
+            .get_mut(key)
+            .map(EndpointState::take_all_idle);
+        drop(state);
+        drop(closed);
+    }
+
+    /// Sends a request that must end within its deadline, and keeps the
+    /// connection if the answer is whole.
+    pub(crate) async fn send(
+        &self,
+        mut guard: ConnectionGuard,
+        request: EndpointRequest,
+    ) -> AttemptEnd {
+        let span = request.deadline;
+        let Some(connection) = guard.get() else {
+            return AttemptEnd::NotSent("connection is closed");
+        };
+        self.lock().stats.sent += 1;
+        // The connection bounds the time too; this bound also covers one that
+        // stops responding.
+        let sent = timeout(span.as_duration(), connection.send(request, span)).await;
+        let answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(DispatchError::NotSent { .. })) => {
+                self.lock().stats.sent -= 1;
+                return AttemptEnd::NotSent("not sent");
+            }
+            Ok(Err(DispatchError::OutcomeUnknown { .. })) => {
+                return AttemptEnd::Unknown("no whole answer");
+            }
+            Ok(Err(DispatchError::Mismatch)) => {
+                return AttemptEnd::Unknown("answer of another request");
+            }
+            Err(_) => return AttemptEnd::Unknown("no answer in time"),
+        };
+        guard.keep();
+        if answer.not_run {
+            AttemptEnd::Refused
+        } else {
+            AttemptEnd::Answered(answer)
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-route/src/budget.rs
@@ -0,0 +1,61 @@
+//! Limits on retries.
+
+use fastrand::Rng;
+use pimentochute_base::MilliSpan;
+
+use crate::RouterSettings;
+
+/// The units of one retry; a request adds `retry_percent` units.
+const RETRY_UNITS: u64 = 100;
+
+/// The retries that may be saved up beyond the reserve.
+const MAX_SAVED_RETRIES: u64 = 100;
+
+/// Limits retries to a percentage of requests plus a reserve, so that retries
+/// do not multiply the load of endpoints that are already failing.
+#[derive(Debug)]
+pub(crate) struct RetryBudget {
+    units: u64,
+    max_units: u64,
+    percent: u64,
+}
+
+impl RetryBudget {
+    /// Creates a budget that holds its reserve.
+    pub(crate) fn new(settings: &RouterSettings) -> Self {
+        let reserve = u64::from(settings.retry_reserve) * RETRY_UNITS;
+        Self {
+            units: reserve,
+            max_units: reserve + MAX_SAVED_RETRIES * RETRY_UNITS,
+            percent: u64::from(settings.retry_percent),
+        }
+    }
+
+    /// Counts a request.
+    pub(crate) fn add_request(&mut self) {
+        self.units = (self.units + self.percent).min(self.max_units);
+    }
+
+    /// Takes one retry if the budget has one.
+    pub(crate) const fn take_retry(&mut self) -> bool {
+        let allowed = self.units >= RETRY_UNITS;
+        if allowed {
+            self.units -= RETRY_UNITS;
+        }
+        allowed
+    }
+}
+
+/// Returns the pause before retry `number`, counted from zero.
+///
+/// The pause doubles each time; its random half keeps callers that failed
+/// together from retrying together.
+pub(crate) fn backoff_pause(rng: &mut Rng, settings: &RouterSettings, number: u32) -> MilliSpan {
+    let growth = 1_u64 << number.min(16);
+    let longest = settings
+        .backoff_base
+        .as_millis()
+        .saturating_mul(growth)
+        .min(settings.backoff_max.as_millis());
+    MilliSpan::new(rng.u64(longest / 2..=longest))
+}
--- /dev/null
+++ b/crates/pimentochute-route/src/grant.rs
@@ -0,0 +1,232 @@
+//! The choice of who is served next, and where.
+
+use std::cmp::Ordering;
+
+use pimentochute_base::{HostName, MilliTime, ServiceName, TeamName};
+
+use crate::PeerLoad;
+use crate::endpoint::{EndpointKey, EndpointState};
+use crate::fair::WaiterKey;
+use crate::guard::{PeerGuard, PermitGuard, SlotGuard};
+use crate::state::{RouterState, SlotUse};
+use crate::waiter::{RequestNeed, RequestWaiter};
+
+/// The permission to make one attempt.
+#[derive(Debug)]
+pub(crate) struct RequestGrant {
+    /// Where the attempt is made.
+    pub(crate) place: GrantPlace,
+    /// The permit, if the request needed one.
+    pub(crate) permit: Option<PermitGuard>,
+}
+
+/// Where an attempt is made.
+#[derive(Debug)]
+pub(crate) enum GrantPlace {
+    /// At an endpoint, with a slot of this host.
+    Endpoint(SlotGuard),
+    /// At a peer, which has free slots.
+    Peer(PeerGuard),
+}
+
+/// A place that is already counted in the state, but not yet guarded.
+pub(crate) enum ChosenPlace {
+    /// A slot of an endpoint.
+    Endpoint(SlotUse),
+    /// A peer.
+    Peer(HostName),
+}
+
+/// A waiting request and its place.
+pub(crate) type ChosenWaiter = (RequestWaiter, ChosenPlace);
+
+impl RouterState {
+    /// Takes a slot and, if needed, a permit for a request.
+    pub(crate) fn take_slot(&mut self, need: &RequestNeed, now: MilliTime) -> Option<SlotUse> {
+        if need.permit && !self.has_permit(&need.team) {
+            return None;
+        }
+        let key = self.choose_endpoint(need, now)?;
+        let share = self.share(&need.team);
+        let service = self.services.get_mut(&need.service)?;
+        let endpoint = self.endpoints.get_mut(key)?;
+        endpoint.in_use += 1;
+        let slot = SlotUse {
+            endpoint: key,
+            service: need.service.clone(),
+            team: need.team.clone(),
+            granted: now,
+            charged: service.queue.charge(&need.team, share),
+            trial: endpoint.breaker.begin(),
+        };
+        let team = self.teams.entry(need.team.clone()).or_default();
+        team.slots += 1;
+        team.in_flight += u32::from(need.permit);
+        Some(slot)
+    }
+
+    /// Tells whether a team may have one more request in flight.
+    pub(crate) fn has_permit(&self, team: &TeamName) -> bool {
+        let team = self.teams.get(team);
+        team.is_some_and(|team| team.in_flight < team.permits)
+    }
+
+    /// Chooses the endpoint with the smallest part of its slots in use.
+    ///
+    /// All endpoints of the service are compared: a service has about 50 of
+    /// them, and a host owns one or two slots of each, so that two random
+    /// choices would mostly find none free when slots are scarce. Equal ones
+    /// are chosen at random, those with an idle connection first. Endpoints
+    /// that were tried are used again only if there is no other live one.
+    fn choose_endpoint(&mut self, need: &RequestNeed, now: MilliTime) -> Option<EndpointKey> {
+        let keys = &self.services.get(&need.service)?.endpoints;
+        let endpoints = &self.endpoints;
+        let is_live = |key| endpoints.get(key).is_some_and(EndpointState::is_live);
+        let exhausted = !keys
+            .iter()
+            .any(|key| !need.tried.contains(key) && is_live(*key));
+        let mut best = None;
+        let mut ties = 0;
+        for key in keys.iter().copied() {
+            if !exhausted && need.tried.contains(&key) {
+                continue;
+            }
+            let Some(rank) = endpoints.get(key).and_then(|e| e.free_rank(now)) else {
+                continue;
+            };
+            let order = best.map_or(Ordering::Less, |(_, least)| rank.cmp(&least));
+            ties = if order.is_eq() { ties + 1 } else { ties };
+            if order.is_lt() || (order.is_eq() && self.rng.u32(0..=ties) == 0) {
+                ties = if order.is_lt() { 0 } else { ties };
+                best = Some((key, rank));
+            }
+        }
+        best.map(|(key, _)| key)
+    }
+
+    /// Hands free slots of a service to waiting requests in fair order.
+    pub(crate) fn grant_slots(
+        &mut self,
+        service: &ServiceName,
+        now: MilliTime,
+    ) -> Vec<ChosenWaiter> {
+        let mut chosen = Vec::new();
+        while self.has_free_slot(service, now)
+            && let Some(waiter) = self.grant_next(service, |state, need| {
+                state.take_slot(need, now).map(ChosenPlace::Endpoint)
+            })
+        {
+            chosen.push(waiter);
+        }
+        chosen
+    }
+
+    fn has_free_slot(&self, service: &ServiceName, now: MilliTime) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| self.free_slots(service, now) > 0)
+    }
+
+    /// Hands free slots of peers to waiting requests in fair order.
+    pub(crate) fn grant_peers(
+        &mut self,
+        service: &ServiceName,
+        loads: &[PeerLoad],
+    ) -> Vec<ChosenWaiter> {
+        let mut chosen = Vec::new();
+        while let Some(waiter) = self.grant_next(service, |state, need| {
+            state.take_peer(need, loads).map(ChosenPlace::Peer)
+        }) {
+            chosen.push(waiter);
+        }
+        chosen
+    }
+
+    /// Removes the next request in fair order for which `take` finds a place.
+    fn grant_next(
+        &mut self,
+        service: &ServiceName,
+        mut take: impl FnMut(&mut Self, &RequestNeed) -> Option<ChosenPlace>,
+    ) -> Option<ChosenWaiter> {
+        let order = self.services.get(service)?.queue.order();
+        for team in order {
+            for key in self.candidates(service, &team) {
+                let need = self.waiters.get(key)?.need.clone();
+                if let Some(place) = take(self, &need) {
+                    return self.remove_waiter(key).map(|waiter| (waiter, place));
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the requests of a team that may be served next: all that need
+    /// no permit, and the oldest that needs one.
+    fn candidates(&self, service: &ServiceName, team: &TeamName) -> Vec<WaiterKey> {
+        let service = self.services.get(service);
+        let Some(line) = service.and_then(|service| service.queue.line(team)) else {
+            return Vec::new();
+        };
+        let fresh = line.fresh.front();
+        line.admitted.iter().chain(fresh).copied().collect()
+    }
+
+    /// Takes a place at a peer and, if needed, a permit for a request.
+    fn take_peer(&mut self, need: &RequestNeed, loads: &[PeerLoad]) -> Option<HostName> {
+        if !need.forward || (need.permit && !self.has_permit(&need.team)) {
+            return None;
+        }
+        let free = self.free_peers(need, loads);
+        let host = match free.as_slice() {
+            [] => return None,
+            [(_, host)] => (*host).clone(),
+            peers => {
+                // Two random choices: all hosts see the same loads, and would
+                // otherwise send to the same peer until its next heartbeat.
+                let first = self.rng.usize(0..peers.len());
+                let second = (first + self.rng.usize(1..peers.len())) % peers.len();
+                peers[first].max(peers[second]).1.clone()
+            }
+        };
+        *self.forwards.entry(host.clone()).or_default() += 1;
+        let share = self.share(&need.team);
+        let service = self.services.get_mut(&need.service)?;
+        service.queue.charge_forward(&need.team, share);
+        let team = self.teams.entry(need.team.clone()).or_default();
+        team.in_flight += u32::from(need.permit);
+        Some(host)
+    }
+
+    /// Returns the peers with more free slots than requests of this host that
+    /// are on their way or running there. The heartbeat lags, so that these
+    /// may be counted twice; that errs towards waiting here.
+    fn free_peers<'a>(
+        &self,
+        need: &RequestNeed,
+        loads: &'a [PeerLoad],
+    ) -> Vec<(u32, &'a HostName)> {
+        let forwards = |host: &HostName| self.forwards.get(host).copied().unwrap_or(0);
+        loads
+            .iter()
+            .filter(|load| !need.tried_peers.contains(&load.host))
+            .map(|load| {
+                (
+                    load.free_slots.saturating_sub(forwards(&load.host)),
+                    &load.host,
+                )
+            })
+            .filter(|(free, _)| *free > 0)
+            .collect()
+    }
+
+    /// Tells whether a waiting request of a service may be forwarded.
+    pub(crate) fn may_forward(&self, service: &ServiceName) -> bool {
+        let Some(service) = self.services.get(service) else {
+            return false;
+        };
+        let mut keys = service
+            .queue
+            .lines()
+            .flat_map(|(_, line)| line.admitted.iter().chain(line.fresh.front()));
+        keys.any(|key| self.waiters.get(*key).is_some_and(|w| w.need.forward))
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-route/src/guard.rs
@@ -0,0 +1,258 @@
+//! Guards that give back what a request uses, whatever happens to it.
+
+use std::fmt;
+use std::sync::Arc;
+
+use pimentochute_base::{HostName, MilliTime, TeamName};
+use pimentochute_platform::EndpointConnection;
+
+use crate::endpoint::{EndpointKey, IdleConnection};
+use crate::fair::WaiterKey;
+use crate::shared::RouterShared;
+use crate::state::SlotUse;
+
+/// A slot of an endpoint.
+///
+/// Dropping it gives the slot back, or holds it until the attempt has lapsed
+/// if the request may still be running.
+pub(crate) struct SlotGuard {
+    shared: Arc<RouterShared>,
+    /// The slot.
+    pub(crate) slot: SlotUse,
+    /// When an attempt that was sent has surely ended.
+    pub(crate) lapse: Option<MilliTime>,
+}
+
+impl SlotGuard {
+    /// Guards a slot that is counted as in use.
+    pub(crate) const fn new(shared: Arc<RouterShared>, slot: SlotUse) -> Self {
+        Self {
+            shared,
+            slot,
+            lapse: None,
+        }
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        if self.slot.trial {
+            if let Some(endpoint) = state.endpoints.get_mut(self.slot.endpoint) {
+                endpoint.breaker.end_trial();
+            }
+            self.slot.trial = false;
+        }
+        let closed = match self.lapse {
+            Some(until) => {
+                state.hold_slot(self.slot.clone(), until);
+                Vec::new()
+            }
+            None => state.release_slot(&self.slot, now),
+        };
+        drop(state);
+        drop(closed);
+        self.shared.serve_waiting();
+    }
+}
+
+impl fmt::Debug for SlotGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("SlotGuard").field(&self.slot).finish()
+    }
+}
+
+/// A permit of a team.
+///
+/// Dropping it gives the permit back, or holds it until the request has
+/// lapsed if it may still be running.
+pub(crate) struct PermitGuard {
+    shared: Arc<RouterShared>,
+    team: TeamName,
+    /// When all attempts that were sent have surely ended.
+    pub(crate) lapse: Option<MilliTime>,
+}
+
+impl PermitGuard {
+    /// Guards a permit that is counted as in flight.
+    pub(crate) const fn new(shared: Arc<RouterShared>, team: TeamName) -> Self {
+        Self {
+            shared,
+            team,
+            lapse: None,
+        }
+    }
+}
+
+impl Drop for PermitGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        match self.lapse {
+            Some(until) => state.hold_permit(self.team.clone(), until),
+            None => state.release_permit(&self.team),
+        }
+        drop(state);
+        self.shared.serve_waiting();
+    }
+}
+
+impl fmt::Debug for PermitGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("PermitGuard").field(&self.team).finish()
+    }
+}
+
+/// A request on its way to a peer.
+pub(crate) struct PeerGuard {
+    shared: Arc<RouterShared>,
+    /// The peer.
+    pub(crate) host: HostName,
+}
+
+impl PeerGuard {
+    /// Guards a forward that is counted.
+    pub(crate) const fn new(shared: Arc<RouterShared>, host: HostName) -> Self {
+        Self { shared, host }
+    }
+}
+
+impl Drop for PeerGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        if let Some(count) = state.forwards.get_mut(&self.host) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                state.forwards.remove(&self.host);
+            }
+        }
+    }
+}
+
+impl fmt::Debug for PeerGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("PeerGuard").field(&self.host).finish()
+    }
+}
+
+/// A place in the queue; dropping it frees the place.
+pub(crate) struct WaitGuard {
+    shared: Arc<RouterShared>,
+    key: WaiterKey,
+}
+
+impl WaitGuard {
+    /// Guards a waiting request.
+    pub(crate) const fn new(shared: Arc<RouterShared>, key: WaiterKey) -> Self {
+        Self { shared, key }
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        let waiter = self.shared.lock().remove_waiter(self.key);
+        drop(waiter);
+    }
+}
+
+/// An accepted request without a result; the drain waits for it.
+pub(crate) struct ActiveGuard {
+    shared: Arc<RouterShared>,
+    /// Whether the caller received a result.
+    pub(crate) finished: bool,
+}
+
+impl ActiveGuard {
+    /// Guards a request that is counted as active.
+    pub(crate) const fn new(shared: Arc<RouterShared>) -> Self {
+        Self {
+            shared,
+            finished: false,
+        }
+    }
+}
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        state.active = state.active.saturating_sub(1);
+        state.stats.abandoned += u64::from(!self.finished);
+        let idle = state.active == 0;
+        drop(state);
+        if idle {
+            self.shared.drained.notify_waiters();
+        }
+    }
+}
+
+/// A connection in use by one request.
+///
+/// Dropping it closes the connection, so that an error, a mismatch or a
+/// caller that goes away never leaves one with an answer still to come.
+pub(crate) struct ConnectionGuard {
+    shared: Arc<RouterShared>,
+    endpoint: EndpointKey,
+    generation: u32,
+    /// Whether the endpoint counts the connection for this guard.
+    counted: bool,
+    connection: Option<Box<dyn EndpointConnection>>,
+}
+
+impl ConnectionGuard {
+    /// Guards a connection that is counted as open; `None` while it is being
+    /// opened.
+    pub(crate) const fn new(
+        shared: Arc<RouterShared>,
+        endpoint: EndpointKey,
+        generation: u32,
+        connection: Option<Box<dyn EndpointConnection>>,
+    ) -> Self {
+        Self {
+            shared,
+            endpoint,
+            generation,
+            counted: true,
+            connection,
+        }
+    }
+
+    /// Takes over the connection once it is open.
+    pub(crate) fn open(&mut self, connection: Box<dyn EndpointConnection>) {
+        self.connection = Some(connection);
+    }
+
+    /// Returns the connection.
+    pub(crate) fn get(&mut self) -> Option<&mut (dyn EndpointConnection + 'static)> {
+        self.connection.as_deref_mut()
+    }
+
+    /// Keeps the connection for another request; its answer was complete.
+    pub(crate) fn keep(mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let since = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        let endpoint = state.endpoints.get_mut(self.endpoint);
+        let endpoint = endpoint.filter(|e| e.generation == self.generation && e.is_live());
+        if let Some(endpoint) = endpoint {
+            endpoint.idle.push(IdleConnection { connection, since });
+            self.counted = false;
+        } else {
+            drop(state);
+            drop(connection);
+        }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        if let Some(endpoint) = state.endpoints.get_mut(self.endpoint)
+            && endpoint.generation == self.generation
+            && self.counted
+        {
+            endpoint.forget_connections(1);
+        }
+    }
+}
--- a/crates/pimentochute-route/src/lib.rs
+++ b/crates/pimentochute-route/src/lib.rs
@@ -1,11 +1,25 @@
 //! Routing of requests to endpoints.
 
+mod attempt;
+mod breaker;
+mod budget;
+mod endpoint;
+mod fair;
+mod flow;
+mod grant;
+mod guard;
+mod hold;
 mod quota;
 mod request;
 mod router;
 mod settings;
+mod shared;
+mod slots;
 mod spec;
+mod state;
 mod stats;
+mod verdict;
+mod waiter;
 
 pub use quota::{TeamQuota, host_permits};
 pub use request::{
@@ -13,5 +27,6 @@
 };
 pub use router::RequestRouter;
 pub use settings::{HostPosition, RouterSettings};
+pub use slots::{owned_connections, owned_slots};
 pub use spec::{EndpointSpec, EndpointStatus, EndpointUse, RouterLoad};
 pub use stats::RouterStats;
--- a/crates/pimentochute-route/src/router.rs
+++ b/crates/pimentochute-route/src/router.rs
@@ -4,20 +4,22 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use pimentochute_base::MilliClock;
+use pimentochute_base::{MilliClock, MilliSpan};
 use pimentochute_platform::EndpointDialer;
 
+use crate::flow::RequestFlow;
+use crate::guard::ActiveGuard;
+use crate::shared::RouterShared;
+use crate::verdict::log_refusal;
 use crate::{
-    EndpointSpec, EndpointUse, HostPosition, PeerForward, RequestRoute, RouteError, RoutedAnswer,
-    RoutedRequest, RouterLoad, RouterSettings, RouterStats, TeamQuota,
+    EndpointSpec, EndpointUse, HostPosition, PeerForward, RequestOrigin, RequestRoute, RouteError,
+    RoutedAnswer, RoutedRequest, RouterLoad, RouterSettings, RouterStats, TeamQuota,
 };
 
 /// Routes requests to endpoints; clones share their state.
 #[derive(Clone)]
 pub struct RequestRouter {
-    settings: RouterSettings,
-    dialer: Arc<dyn EndpointDialer>,
-    peers: Arc<dyn PeerForward>,
+    shared: Arc<RouterShared>,
 }
 
 impl RequestRouter {
@@ -25,15 +27,14 @@
     #[must_use]
     pub fn new(
         settings: RouterSettings,
-        _host: HostPosition,
+        host: HostPosition,
         dialer: Arc<dyn EndpointDialer>,
         peers: Arc<dyn PeerForward>,
-        _clock: MilliClock,
+        clock: MilliClock,
     ) -> Self {
+        let shared = RouterShared::new(settings, host, dialer, peers, clock);
         Self {
-            settings,
-            dialer,
-            peers,
+            shared: Arc::new(shared),
         }
     }
 
@@ -41,43 +42,110 @@
     ///
     /// An endpoint that is listed as leaving or is not listed gets no new
     /// request; its requests in flight finish.
-    pub fn set_endpoints(&self, _endpoints: Vec<EndpointSpec>) {}
+    pub fn set_endpoints(&self, endpoints: Vec<EndpointSpec>) {
+        let closed = self.shared.lock_current().set_endpoints(endpoints);
+        drop(closed);
+        self.shared.serve_waiting();
+    }
 
     /// Replaces the quotas; a team without a quota is refused.
-    pub fn set_teams(&self, _teams: Vec<TeamQuota>) {}
+    pub fn set_teams(&self, teams: Vec<TeamQuota>) {
+        self.shared.lock_current().set_teams(teams);
+        self.shared.serve_waiting();
+    }
 
     /// Returns the free capacity for heartbeats, one entry per service.
     #[must_use]
     pub fn loads(&self) -> Vec<RouterLoad> {
-        Vec::new()
+        let now = self.shared.clock.now();
+        self.shared.lock_current().loads(now)
     }
 
     /// Returns the endpoints with the slots of this host and their use.
     #[must_use]
     pub fn endpoints(&self) -> Vec<EndpointUse> {
-        Vec::new()
+        let now = self.shared.clock.now();
+        self.shared.lock_current().view(now)
     }
 
     /// Returns the counters.
     #[must_use]
     pub fn stats(&self) -> RouterStats {
-        RouterStats::default()
+        self.shared.lock().stats
     }
 
-    /// Refuses new requests and returns when no accepted one is left.
+    /// Refuses new requests, also those of peers, and returns when no
+    /// accepted one is left.
+    ///
+    /// A request is accepted until its result was returned by
+    /// [`RequestRoute::route`]; writing the result to the caller is up to the
+    /// HTTP server. May be called again; new requests stay refused.
     pub async fn drain(&self) {
-        std::future::ready(()).await;
+        self.shared.lock().draining = true;
+        loop {
+            let drained = self.shared.drained.notified();
+            tokio::pin!(drained);
+            // Registers before the check, so that no notice is missed.
+            drained.as_mut().enable();
+            if self.shared.lock().active == 0 {
+                return;
+            }
+            drained.await;
+        }
+    }
+
+    /// Accepts a request or refuses it at once.
+    fn admit(&self, request: &RoutedRequest) -> Result<ActiveGuard, RouteError> {
+        let mut state = self.shared.lock_current();
+        if state.draining {
+            return Err(RouteError::Draining);
+        }
+        if request.deadline == MilliSpan::ZERO {
+            return Err(RouteError::DeadlineBeforeSend);
+        }
+        if !state.has_live_endpoint(&request.service) {
+            let service = request.service.clone();
+            return Err(RouteError::NoEndpoint { service });
+        }
+        let local = request.origin == RequestOrigin::Caller;
+        // A team without permits on this host would wait in vain.
+        if local
+            && state
+                .teams
+                .get(&request.team)
+                .is_none_or(|t| t.permits == 0)
+        {
+            let retry_after = state.retry_after(&request.service);
+            return Err(RouteError::Overloaded { retry_after });
+        }
+        state.active += 1;
+        state.stats.accepted += 1;
+        state.budget.add_request();
+        Ok(ActiveGuard::new(Arc::clone(&self.shared)))
+    }
+
+    async fn run(&self, request: RoutedRequest) -> Result<RoutedAnswer, RouteError> {
+        let admitted = self.admit(&request);
+        let result = match admitted {
+            Ok(mut guard) => {
+                let result = RequestFlow::new(Arc::clone(&self.shared), request)
+                    .run()
+                    .await;
+                guard.finished = true;
+                result
+            }
+            Err(error) => {
+                log_refusal(&request, &error, "refused on arrival");
+                Err(error)
+            }
+        };
+        self.shared.lock().stats.count(&result);
+        result
     }
 }
 
 impl RequestRoute for RequestRouter {
     fn route(&self, request: RoutedRequest) -> BoxFuture<'_, Result<RoutedAnswer, RouteError>> {
-        let _ = (&self.settings, &self.dialer, &self.peers);
-        async move {
-            Err(RouteError::NoEndpoint {
-                service: request.service,
-            })
-        }
-        .boxed()
+        self.run(request).boxed()
     }
 }
--- /dev/null
+++ b/crates/pimentochute-route/src/state.rs
@@ -0,0 +1,261 @@
+//! The state of the router behind its lock.
+
+use std::collections::{BTreeMap, HashMap};
+
+use fastrand::Rng;
+use pimentochute_base::{EndpointName, HostName, MilliTime, ServiceName, TeamName};
+use slotmap::SlotMap;
+
+use crate::budget::RetryBudget;
+use crate::endpoint::{EndpointKey, EndpointState, IdleConnection};
+use crate::fair::{FairQueue, WaiterKey};
+use crate::hold::LapsingHold;
+use crate::waiter::RequestWaiter;
+use crate::{
+    EndpointSpec, EndpointUse, HostPosition, RouterLoad, RouterSettings, RouterStats, TeamQuota,
+};
+
+/// The endpoints and the queue of a service.
+#[derive(Default)]
+pub(crate) struct ServiceState {
+    /// The listed endpoints and those with slots in use.
+    pub(crate) endpoints: Vec<EndpointKey>,
+    /// The waiting requests.
+    pub(crate) queue: FairQueue,
+}
+
+/// The quota and the use of a team on this host.
+#[derive(Debug, Default)]
+pub(crate) struct TeamState {
+    /// The team's share; zero if it has no quota.
+    pub(crate) share: u32,
+    /// The requests that may be in flight.
+    pub(crate) permits: u32,
+    /// The requests in flight. May exceed `permits` only after they were
+    /// lowered.
+    pub(crate) in_flight: u32,
+    /// The endpoint slots in use, over all services.
+    pub(crate) slots: u32,
+    /// The waiting requests, over all services.
+    pub(crate) waiting: u32,
+}
+
+/// A slot in use.
+#[derive(Debug, Clone)]
+pub(crate) struct SlotUse {
+    /// The endpoint; stays in the arena while the slot is in use.
+    pub(crate) endpoint: EndpointKey,
+    /// The service at the time of the grant.
+    pub(crate) service: ServiceName,
+    /// The team that is charged.
+    pub(crate) team: TeamName,
+    /// When the slot was granted.
+    pub(crate) granted: MilliTime,
+    /// The slot time charged at the grant, in milliseconds.
+    pub(crate) charged: u64,
+    /// Whether the request tries an avoided endpoint.
+    pub(crate) trial: bool,
+}
+
+/// All changing state of the router.
+pub(crate) struct RouterState {
+    pub(crate) host: HostPosition,
+    pub(crate) endpoints: SlotMap<EndpointKey, EndpointState>,
+    pub(crate) names: HashMap<EndpointName, EndpointKey>,
+    pub(crate) services: BTreeMap<ServiceName, ServiceState>,
+    pub(crate) teams: HashMap<TeamName, TeamState>,
+    pub(crate) waiters: SlotMap<WaiterKey, RequestWaiter>,
+    /// The bytes of the bodies of waiting requests.
+    pub(crate) waiting_bytes: usize,
+    /// The requests forwarded to each peer and not yet answered.
+    pub(crate) forwards: HashMap<HostName, u32>,
+    /// Holds by the time at which they lapse and a sequence number.
+    pub(crate) holds: BTreeMap<(MilliTime, u64), LapsingHold>,
+    /// The next sequence number of holds and waiters.
+    sequence: u64,
+    pub(crate) budget: RetryBudget,
+    pub(crate) rng: Rng,
+    pub(crate) stats: RouterStats,
+    pub(crate) draining: bool,
+    /// The accepted requests without a result.
+    pub(crate) active: u64,
+    /// Whether a task checks the queue at intervals.
+    pub(crate) checking: bool,
+}
+
+impl RouterState {
+    /// Creates a state without endpoints and teams.
+    pub(crate) fn new(settings: &RouterSettings, host: HostPosition) -> Self {
+        Self {
+            host,
+            endpoints: SlotMap::with_key(),
+            names: HashMap::new(),
+            services: BTreeMap::new(),
+            teams: HashMap::new(),
+            waiters: SlotMap::with_key(),
+            waiting_bytes: 0,
+            forwards: HashMap::new(),
+            holds: BTreeMap::new(),
+            sequence: 0,
+            budget: RetryBudget::new(settings),
+            rng: Rng::with_seed(settings.seed),
+            stats: RouterStats::default(),
+            draining: false,
+            active: 0,
+            checking: false,
+        }
+    }
+
+    /// Returns the next sequence number.
+    pub(crate) const fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Replaces the list of endpoints; returns the connections to close.
+    pub(crate) fn set_endpoints(&mut self, specs: Vec<EndpointSpec>) -> Vec<IdleConnection> {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.listed = false;
+        }
+        let mut closed = Vec::new();
+        for spec in specs {
+            closed.extend(self.set_endpoint(spec));
+        }
+        for endpoint in self.endpoints.values_mut() {
+            closed.extend(endpoint.trim_idle());
+        }
+        self.forget_gone();
+        closed
+    }
+
+    fn set_endpoint(&mut self, spec: EndpointSpec) -> Vec<IdleConnection> {
+        let known = self.names.get(&spec.name);
+        if let Some(endpoint) = known.and_then(|key| self.endpoints.get_mut(*key)) {
+            return endpoint.update(spec, self.host);
+        }
+        let name = spec.name.clone();
+        let key = self.endpoints.insert(EndpointState::new(spec, self.host));
+        self.names.insert(name, key);
+        Vec::new()
+    }
+
+    /// Forgets endpoints that are neither listed nor in use.
+    pub(crate) fn forget_gone(&mut self) {
+        self.endpoints.retain(|_, endpoint| !endpoint.is_gone());
+        let endpoints = &self.endpoints;
+        self.names.retain(|_, key| endpoints.contains_key(*key));
+        for service in self.services.values_mut() {
+            service.endpoints.clear();
+        }
+        for (key, endpoint) in &self.endpoints {
+            let service = endpoint.spec.service.clone();
+            self.services
+                .entry(service)
+                .or_default()
+                .endpoints
+                .push(key);
+        }
+        self.services
+            .retain(|_, service| !service.endpoints.is_empty() || service.queue.waiting() > 0);
+    }
+
+    /// Replaces the quotas.
+    pub(crate) fn set_teams(&mut self, quotas: Vec<TeamQuota>) {
+        for team in self.teams.values_mut() {
+            team.share = 0;
+            team.permits = 0;
+        }
+        for quota in quotas {
+            let team = self.teams.entry(quota.team).or_default();
+            team.share = quota.share.max(1);
+            team.permits = quota.permits;
+        }
+        self.teams.retain(|_, team| !team.is_unused());
+        let teams = &self.teams;
+        for service in self.services.values_mut() {
+            service.queue.prune(|team| teams.contains_key(team));
+        }
+    }
+
+    /// Returns the share of a team; a team without a quota has one.
+    pub(crate) fn share(&self, team: &TeamName) -> u32 {
+        self.teams.get(team).map_or(1, |state| state.share.max(1))
+    }
+
+    /// Tells whether a service has an endpoint that takes new requests.
+    pub(crate) fn has_live_endpoint(&self, service: &ServiceName) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| {
+            let mut endpoints = service.endpoints.iter();
+            endpoints.any(|key| self.endpoints.get(*key).is_some_and(EndpointState::is_live))
+        })
+    }
+
+    /// Returns the slots of a service that a new request can use now.
+    pub(crate) fn free_slots(&self, service: &ServiceState, now: MilliTime) -> u32 {
+        let endpoints = service.endpoints.iter();
+        endpoints
+            .filter_map(|key| self.endpoints.get(*key))
+            .map(|endpoint| endpoint.free_slots(now))
+            .sum()
+    }
+
+    /// Returns the free capacity of each service.
+    pub(crate) fn loads(&self, now: MilliTime) -> Vec<RouterLoad> {
+        let services = self.services.iter();
+        services
+            .map(|(name, service)| RouterLoad {
+                service: name.clone(),
+                // Requests forwarded to a stopping host are refused.
+                free_slots: if self.draining {
+                    0
+                } else {
+                    self.free_slots(service, now)
+                },
+                waiting: u32::try_from(service.queue.waiting()).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// Returns the endpoints and their use, ordered by name.
+    pub(crate) fn view(&self, now: MilliTime) -> Vec<EndpointUse> {
+        let mut view: Vec<_> = self.endpoints.values().map(|e| e.view(now)).collect();
+        view.sort_by(|a, b| a.name.cmp(&b.name));
+        view
+    }
+
+    /// Gives a slot back; returns the connections to close.
+    pub(crate) fn release_slot(&mut self, slot: &SlotUse, now: MilliTime) -> Vec<IdleConnection> {
+        let share = self.share(&slot.team);
+        if let Some(service) = self.services.get_mut(&slot.service) {
+            let queue = &mut service.queue;
+            queue.release(&slot.team, share, slot.charged, slot.granted, now);
+        }
+        if let Some(team) = self.teams.get_mut(&slot.team) {
+            team.slots = team.slots.saturating_sub(1);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(slot.endpoint) else {
+            return Vec::new();
+        };
+        endpoint.in_use = endpoint.in_use.saturating_sub(1);
+        let closed = endpoint.trim_idle();
+        if endpoint.is_gone() {
+            self.forget_gone();
+        }
+        closed
+    }
+
+    /// Gives a permit back.
+    pub(crate) fn release_permit(&mut self, team: &TeamName) {
+        if let Some(team) = self.teams.get_mut(team) {
+            team.in_flight = team.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+impl TeamState {
+    /// Tells whether the team has neither a quota nor requests.
+    const fn is_unused(&self) -> bool {
+        self.share == 0 && self.in_flight == 0 && self.slots == 0 && self.waiting == 0
+    }
+}
--- a/crates/pimentochute-route/src/stats.rs
+++ b/crates/pimentochute-route/src/stats.rs
@@ -1,9 +1,11 @@
 //! Counters of the router.
 
+use crate::{RouteError, RoutedAnswer};
+
 /// Counts since the router was created.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RouterStats {
-    /// Requests that were neither refused on arrival nor evicted later.
+    /// Requests that were not refused on arrival.
     pub accepted: u64,
     /// Requests with an endpoint's answer.
     pub answered: u64,
@@ -21,7 +23,7 @@
     pub unknown: u64,
     /// Requests whose caller went away.
     pub abandoned: u64,
-    /// Attempts sent to endpoints.
+    /// Attempts sent to endpoints, surely or possibly.
     pub sent: u64,
     /// Requests forwarded to a peer.
     pub forwarded: u64,
@@ -36,3 +38,21 @@
     /// Probes of idle connections that failed.
     pub probe_failures: u64,
 }
+
+impl RouterStats {
+    /// Counts the result of a request.
+    pub(crate) const fn count(&mut self, result: &Result<RoutedAnswer, RouteError>) {
+        let counter = match result {
+            Ok(_) => &mut self.answered,
+            Err(RouteError::NoEndpoint { .. } | RouteError::PeerUnreachable) => {
+                &mut self.no_endpoint
+            }
+            Err(RouteError::Overloaded { .. }) => &mut self.overloaded,
+            Err(RouteError::DeadlineBeforeSend) => &mut self.expired,
+            Err(RouteError::RefusedByEndpoint) => &mut self.refused,
+            Err(RouteError::Draining) => &mut self.draining,
+            Err(RouteError::OutcomeUnknown) => &mut self.unknown,
+        };
+        *counter += 1;
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-route/src/verdict.rs
@@ -0,0 +1,162 @@
+//! What follows an attempt: a result, or another attempt.
+
+use log::info;
+use pimentochute_base::{MilliSpan, MilliTime};
+
+use crate::budget::backoff_pause;
+use crate::flow::{FlowStep, RequestFlow};
+use crate::{RouteError, RoutedAnswer, RoutedRequest};
+
+impl RequestFlow {
+    /// Judges what a peer answered.
+    pub(crate) fn judge_peer(
+        &mut self,
+        host: &str,
+        result: Result<RoutedAnswer, RouteError>,
+    ) -> FlowStep {
+        match result {
+            Ok(mut answer) => {
+                answer.attempts = answer.attempts.saturating_add(self.attempts);
+                self.answer(answer)
+            }
+            Err(RouteError::OutcomeUnknown) => {
+                self.attempts += 1;
+                self.after_unknown(host, "no answer from the peer")
+            }
+            Err(RouteError::RefusedByEndpoint) => {
+                self.attempts += 1;
+                self.after_refusal(host)
+            }
+            Err(RouteError::PeerUnreachable) => self.after_unsent(host, "peer is unreachable"),
+            Err(
+                RouteError::NoEndpoint { .. }
+                | RouteError::Overloaded { .. }
+                | RouteError::DeadlineBeforeSend
+                | RouteError::Draining,
+            ) => self.after_unsent(host, "peer refused"),
+        }
+    }
+
+    /// Ends with an answer; nothing of the request runs any more, except an
+    /// earlier attempt whose slot is held.
+    pub(crate) fn answer(&mut self, answer: RoutedAnswer) -> FlowStep {
+        self.set_permit_lapse(None);
+        FlowStep::Done(Ok(answer))
+    }
+
+    /// Goes on after an attempt that surely did not reach an endpoint.
+    pub(crate) fn after_unsent(&mut self, place: &str, why: &'static str) -> FlowStep {
+        self.set_permit_lapse(self.unknown_until);
+        self.unsent += 1;
+        if self.unsent >= self.shared.settings.max_unsent {
+            let service = self.request.service.clone();
+            return self.done(RouteError::NoEndpoint { service }, why);
+        }
+        // The first failure is mostly a connection that its endpoint closed.
+        let pause = self.unsent.checked_sub(2).map(|number| self.pause(number));
+        let pause = pause.unwrap_or(MilliSpan::ZERO);
+        self.log_again(place, why, pause);
+        FlowStep::Again(pause)
+    }
+
+    /// Goes on after a refusal of an endpoint that states that it did not run
+    /// the request.
+    pub(crate) fn after_refusal(&mut self, place: &str) -> FlowStep {
+        self.set_permit_lapse(self.unknown_until);
+        self.refused = true;
+        self.retry(RouteError::RefusedByEndpoint, place, "endpoint refused")
+    }
+
+    /// Goes on after an attempt that may have run.
+    pub(crate) fn after_unknown(&mut self, place: &str, why: &'static str) -> FlowStep {
+        self.unknown_until = self.permit_lapse().max(Some(self.deadline));
+        self.need.evictable = false;
+        self.retry(RouteError::OutcomeUnknown, place, why)
+    }
+
+    /// Retries an idempotent request if its time and the budget allow it. A
+    /// non-idempotent one that was sent is never sent again.
+    fn retry(&mut self, error: RouteError, place: &str, why: &'static str) -> FlowStep {
+        let spent = self.attempts >= self.shared.settings.max_attempts;
+        if !self.request.idempotent || spent {
+            return self.done(error, why);
+        }
+        let pause = self.pause(self.attempts.saturating_sub(1));
+        if pause >= self.shared.time_left(self.deadline) {
+            return self.done(error, why);
+        }
+        let mut state = self.shared.lock();
+        let allowed = state.budget.take_retry();
+        state.stats.retried += u64::from(allowed);
+        state.stats.retries_denied += u64::from(!allowed);
+        drop(state);
+        if !allowed {
+            return self.done(error, "retry budget is spent");
+        }
+        self.unsent = 0;
+        self.log_again(place, why, pause);
+        FlowStep::Again(pause)
+    }
+
+    fn permit_lapse(&self) -> Option<MilliTime> {
+        self.permit.as_ref().and_then(|permit| permit.lapse)
+    }
+
+    fn pause(&self, number: u32) -> MilliSpan {
+        let mut state = self.shared.lock();
+        backoff_pause(&mut state.rng, &self.shared.settings, number)
+    }
+
+    fn done(&self, error: RouteError, why: &'static str) -> FlowStep {
+        FlowStep::Done(Err(self.final_error(error, why)))
+    }
+
+    /// Returns the error for the caller: "not run" only if no attempt can
+    /// have run.
+    pub(crate) fn final_error(&self, error: RouteError, why: &'static str) -> RouteError {
+        let error = if self.unknown_until.is_some() {
+            RouteError::OutcomeUnknown
+        } else if self.refused {
+            RouteError::RefusedByEndpoint
+        } else {
+            error
+        };
+        log_refusal(&self.request, &error, why);
+        error
+    }
+
+    /// Logs where an attempt is made.
+    pub(crate) fn log_attempt(&self, kind: &str, place: &str, why: &str) {
+        let RoutedRequest {
+            id, team, service, ..
+        } = &self.request;
+        let number = self.attempts.max(1);
+        info!(
+            "router: request {id:?} of team {team} for service {service}: \
+             attempt {number} goes to {kind} {place}, because it {why}"
+        );
+    }
+
+    fn log_again(&self, place: &str, why: &str, pause: MilliSpan) {
+        let RoutedRequest {
+            id, team, service, ..
+        } = &self.request;
+        let number = self.attempts;
+        info!(
+            "router: request {id:?} of team {team} for service {service}: \
+             tried again in {pause} after {number} attempts, because of {place}: {why}"
+        );
+    }
+}
+
+/// Logs that a request ends without an answer.
+pub(crate) fn log_refusal(request: &RoutedRequest, error: &RouteError, why: &str) {
+    let RoutedRequest {
+        id, team, service, ..
+    } = request;
+    let code: &'static str = error.into();
+    info!(
+        "router: request {id:?} of team {team} for service {service}: ends as {code}, \
+         because of: {why}"
+    );
+}
