--- /dev/null
+++ b/tests/tests/route_attempts.rs
@@ -0,0 +1,195 @@
+//! Tests of attempts: at most once, truthful errors, complete answers.
+
+mod route_support;
+
+use pimentochute_base::MilliSpan;
+use pimentochute_route::{RouteError, RouterSettings};
+use proptest::prelude::*;
+use route_support::{Bench, ConnectFault, Fault, request, start, wait};
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        3 => (0_u64..400).prop_map(Fault::Answer),
+        1 => Just(Fault::NotSent),
+        1 => Just(Fault::LostBeforeRun),
+        1 => (0_u64..400).prop_map(Fault::LostWhileRunning),
+        1 => (0_u64..400).prop_map(Fault::Crossed),
+        1 => Just(Fault::Silent),
+        1 => Just(Fault::Refuse),
+    ]
+}
+
+fn connect_fault() -> impl Strategy<Value = ConnectFault> {
+    prop_oneof![
+        4 => Just(ConnectFault::Accept),
+        1 => Just(ConnectFault::Refuse),
+        1 => Just(ConnectFault::Hang),
+    ]
+}
+
+/// A request of a schedule: when it starts, its deadline, whether it may run
+/// twice, and when its caller goes away.
+type PlannedRequest = (u64, u64, bool, Option<u64>);
+
+fn planned_request() -> impl Strategy<Value = PlannedRequest> {
+    let gone = prop_oneof![3 => Just(None), 1 => (0_u64..300).prop_map(Some)];
+    (0_u64..1500, 1_u64..1200, any::<bool>(), gone)
+}
+
+/// Runs a schedule and checks each result against the endpoints' records.
+async fn check_schedule(
+    requests: Vec<PlannedRequest>,
+    faults: [Vec<Fault>; 3],
+    connects: [Vec<ConnectFault>; 3],
+    seed: u64,
+) {
+    let settings = RouterSettings {
+        retry_reserve: 100,
+        connect_timeout: MilliSpan::new(200),
+        ..RouterSettings::default().with_seed(seed)
+    };
+    let bench = Bench::new(settings, 3, 2);
+    for (index, (faults, connects)) in (0_u16..).zip(faults.into_iter().zip(connects)) {
+        bench.site.at(index, |record| {
+            record.script.extend(faults);
+            record.connect_script.extend(connects);
+        });
+    }
+    let mut tasks = Vec::new();
+    for (index, (at, deadline, idempotent, gone)) in requests.into_iter().enumerate() {
+        let (router, id) = (bench.router.clone(), format!("r{index}"));
+        let task = tokio::spawn(async move {
+            wait(at).await;
+            let request = request(&id, "a", idempotent, deadline);
+            let handle = start(&router, request).await;
+            let Some(gone) = gone else {
+                return (id, idempotent, Some(handle.await.expect("no panic")));
+            };
+            wait(gone).await;
+            handle.abort();
+            (id, idempotent, handle.await.ok())
+        });
+        tasks.push(task);
+    }
+    for task in tasks {
+        let (id, idempotent, result) = task.await.expect("no panic");
+        let runs = bench.site.runs_of(&id);
+        assert!(idempotent || runs <= 1, "{id} ran {runs} times");
+        match result {
+            Some(Ok(answer)) => assert_eq!(answer.body, id, "answer of another request"),
+            Some(Err(error)) if error.is_not_run() => assert_eq!(runs, 0, "{id}: {error}"),
+            _ => {}
+        }
+    }
+    for (address, record) in &bench.site.lock().endpoints {
+        assert!(
+            record.max_running <= 2,
+            "{address} ran {}",
+            record.max_running
+        );
+    }
+    // All slots and permits come back once everything unknown has lapsed.
+    wait(5000).await;
+    assert_eq!(bench.in_use(), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Guards against a non-idempotent request running twice, an error that
+    /// wrongly says "not run", a crossed answer, slots exceeded, and slots
+    /// that never come back, under any schedule of faults.
+    #[test]
+    fn faults_never_break_the_promises(
+        requests in prop::collection::vec(planned_request(), 1..30),
+        faults in prop::array::uniform3(prop::collection::vec(fault(), 0..20)),
+        connects in prop::array::uniform3(prop::collection::vec(connect_fault(), 0..8)),
+        seed in any::<u64>(),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("runtime");
+        runtime.block_on(check_schedule(requests, faults, connects, seed));
+    }
+}
+
+/// Guards against a request that was not sent being given up although
+/// another endpoint works.
+#[tokio::test(start_paused = true)]
+async fn unsent_request_goes_elsewhere() {
+    let bench = Bench::new(RouterSettings::default(), 2, 1);
+    bench.site.at(0, |e| e.usual = Fault::NotSent);
+    for index in 0..4 {
+        let id = format!("r{index}");
+        let answer = bench.route(request(&id, "a", false, 1000)).await;
+        assert_eq!(answer.expect("answered").endpoint, "e1");
+    }
+}
+
+/// Guards against the refusal of a non-idempotent request being followed by
+/// a second send.
+#[tokio::test(start_paused = true)]
+async fn refused_request_is_sent_again_only_if_idempotent() {
+    let bench = Bench::new(RouterSettings::default(), 2, 1);
+    bench.site.at(0, |e| e.usual = Fault::Refuse);
+    bench.site.at(1, |e| e.usual = Fault::Refuse);
+    let result = bench.route(request("once", "a", false, 1000)).await;
+    assert_eq!(result, Err(RouteError::RefusedByEndpoint));
+    assert_eq!(bench.router.stats().sent, 1);
+    bench.site.at(0, |e| e.usual = Fault::Answer(1));
+    bench.site.at(1, |e| e.usual = Fault::Answer(1));
+    bench.site.at(0, |e| e.script.push_back(Fault::Refuse));
+    bench.site.at(1, |e| e.script.push_back(Fault::Refuse));
+    // The third attempt falls back to a tried endpoint.
+    let answer = bench.route(request("again", "a", true, 1000)).await;
+    assert_eq!(answer.expect("answered").attempts, 3);
+}
+
+/// Guards against retries on the endpoint that just failed.
+#[tokio::test(start_paused = true)]
+async fn retry_uses_another_endpoint() {
+    let bench = Bench::new(RouterSettings::default(), 2, 4);
+    bench.site.at(0, |e| e.usual = Fault::LostWhileRunning(1));
+    for index in 0..8 {
+        let answer = bench
+            .route(request(&format!("r{index}"), "a", true, 1000))
+            .await;
+        assert_eq!(answer.expect("answered").endpoint, "e1");
+    }
+}
+
+/// Guards against retries multiplying the load of a failing service.
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_the_budget() {
+    let bench = Bench::new(RouterSettings::default(), 2, 200);
+    bench.site.at(0, |e| e.usual = Fault::LostBeforeRun);
+    bench.site.at(1, |e| e.usual = Fault::LostBeforeRun);
+    for index in 0..200 {
+        let result = bench
+            .route(request(&format!("r{index}"), "a", true, 1000))
+            .await;
+        assert_eq!(result, Err(RouteError::OutcomeUnknown));
+        wait(20).await;
+    }
+    let stats = bench.router.stats();
+    assert_eq!(stats.retried, 200 / 10 + 10);
+    assert_eq!(stats.sent, 200 + stats.retried);
+    assert!(stats.retries_denied > 0);
+}
+
+/// Guards against a late answer of an abandoned request reaching the next
+/// caller over the same connection.
+#[tokio::test(start_paused = true)]
+async fn late_answer_reaches_nobody() {
+    let bench = Bench::new(RouterSettings::default(), 1, 2);
+    bench.site.at(0, |e| e.script.push_back(Fault::Answer(100)));
+    let gone = start(&bench.router, request("gone", "a", false, 1000)).await;
+    wait(10).await;
+    gone.abort();
+    wait(200).await;
+    let answer = bench.route(request("next", "a", false, 1000)).await;
+    assert_eq!(answer.expect("answered").body, "next");
+    assert_eq!(bench.site.at(0, |e| e.connects), 2);
+}
--- /dev/null
+++ b/tests/tests/route_drain.rs
@@ -0,0 +1,113 @@
+//! Tests of leaving endpoints and of the drain.
+
+mod route_support;
+
+use pimentochute_route::{EndpointStatus, RequestOrigin, RouteError, RouterSettings};
+use route_support::{Bench, Fault, endpoints, request, start, wait};
+
+/// Guards against the drain cutting accepted requests, waiting ones included,
+/// and against it taking new ones.
+#[tokio::test(start_paused = true)]
+async fn drain_cuts_nothing_and_takes_nothing() {
+    let bench = Bench::new(RouterSettings::default(), 1, 2);
+    bench.site.at(0, |e| e.usual = Fault::Answer(300));
+    let mut accepted = Vec::new();
+    for index in 0..6 {
+        accepted.push(
+            start(
+                &bench.router,
+                request(&format!("r{index}"), "a", false, 5000),
+            )
+            .await,
+        );
+    }
+    let router = bench.router.clone();
+    let drain = tokio::spawn(async move { router.drain().await });
+    wait(1).await;
+    let refused = bench.route(request("new", "a", false, 1000)).await;
+    assert_eq!(refused, Err(RouteError::Draining));
+    let mut forwarded = request("peer", "a", false, 1000);
+    forwarded.origin = RequestOrigin::Peer;
+    assert_eq!(bench.route(forwarded).await, Err(RouteError::Draining));
+    assert_eq!(bench.router.loads()[0].free_slots, 0);
+    assert!(!drain.is_finished());
+    for handle in accepted {
+        handle.await.expect("no panic").expect("answered");
+    }
+    drain.await.expect("drained");
+    assert_eq!(bench.site.runs_of("new") + bench.site.runs_of("peer"), 0);
+    bench.router.drain().await;
+}
+
+/// Guards against new requests to an endpoint that is listed as leaving or is
+/// no longer listed, and against its requests in flight being cut.
+#[tokio::test(start_paused = true)]
+async fn leaving_endpoint_finishes_and_gets_nothing_new() {
+    for listed in [true, false] {
+        let bench = Bench::new(RouterSettings::default(), 2, 8);
+        bench.site.at(0, |e| e.usual = Fault::Answer(300));
+        bench.site.at(1, |e| e.usual = Fault::Answer(300));
+        let mut handles = Vec::new();
+        for index in 0..8 {
+            let request = request(&format!("r{index}"), "a", false, 5000);
+            handles.push(start(&bench.router, request).await);
+        }
+        wait(10).await;
+        let mut list = endpoints(2, 8);
+        list[0].status = EndpointStatus::Leaving;
+        if !listed {
+            list.remove(0);
+        }
+        bench.router.set_endpoints(list);
+        let before = bench.site.at(0, |e| e.runs.len());
+        assert_eq!(before, 4);
+        for index in 8..20 {
+            let answer = bench
+                .route(request(&format!("r{index}"), "a", false, 5000))
+                .await;
+            assert_eq!(answer.expect("answered").endpoint, "e1");
+        }
+        for handle in handles {
+            handle.await.expect("no panic").expect("answered");
+        }
+        assert_eq!(bench.site.at(0, |e| (e.runs.len(), e.open)), (before, 0));
+        let known = bench.router.endpoints().len();
+        assert_eq!(known, if listed { 2 } else { 1 });
+    }
+}
+
+/// Guards against a request being sent to an endpoint that was listed as
+/// leaving while the connection was opened.
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_leaves_during_a_probe_gets_no_request() {
+    let bench = Bench::new(RouterSettings::default(), 1, 8);
+    bench
+        .route(request("r0", "a", false, 1000))
+        .await
+        .expect("answered");
+    wait(1500).await;
+    bench.site.at(0, |e| e.mute_probes = true);
+    let handle = start(&bench.router, request("r1", "a", false, 3000)).await;
+    wait(100).await;
+    let mut list = endpoints(2, 8);
+    list[0].status = EndpointStatus::Leaving;
+    bench.router.set_endpoints(list);
+    let answer = handle.await.expect("no panic").expect("answered");
+    assert_eq!(answer.endpoint, "e1");
+    assert_eq!(bench.site.at(0, |e| e.runs.clone()), ["r0"]);
+}
+
+/// Guards against requests that wait being lost when the list is empty for a
+/// moment.
+#[tokio::test(start_paused = true)]
+async fn waiting_requests_outlast_a_gap_in_the_list() {
+    let bench = Bench::new(RouterSettings::default(), 1, 1);
+    bench.site.at(0, |e| e.usual = Fault::Answer(100));
+    let first = start(&bench.router, request("r0", "a", false, 5000)).await;
+    let second = start(&bench.router, request("r1", "a", false, 5000)).await;
+    bench.router.set_endpoints(Vec::new());
+    wait(500).await;
+    first.await.expect("no panic").expect("answered");
+    bench.router.set_endpoints(endpoints(1, 1));
+    second.await.expect("no panic").expect("answered");
+}
--- /dev/null
+++ b/tests/tests/route_fair.rs
@@ -0,0 +1,192 @@
+//! Tests of the queue: fair order, bounds, deadlines, callers that go away.
+
+mod route_support;
+
+use pimentochute_base::MilliSpan;
+use pimentochute_route::{RouteError, RouterSettings};
+use route_support::{Bench, Fault, quota, request, start, wait};
+
+/// Starts `count` requests of a team, in the order of their numbers.
+async fn start_many(
+    bench: &Bench,
+    team: &str,
+    count: u32,
+) -> Vec<tokio::task::JoinHandle<Result<pimentochute_route::RoutedAnswer, RouteError>>> {
+    let mut handles = Vec::new();
+    for index in 0..count {
+        let request = request(&format!("{team}-{index}"), team, false, 60_000);
+        handles.push(start(&bench.router, request).await);
+    }
+    handles
+}
+
+fn runs_of_team(bench: &Bench, team: &str) -> usize {
+    let state = bench.site.lock();
+    let runs = state.endpoints.values().flat_map(|e| &e.runs);
+    runs.filter(|id| id.starts_with(team)).count()
+}
+
+/// Guards against a team with many requests starving one with a larger share
+/// that arrives later.
+#[tokio::test(start_paused = true)]
+async fn scarce_slots_are_shared_by_share() {
+    let bench = Bench::new(RouterSettings::default(), 2, 2);
+    bench
+        .router
+        .set_teams(vec![quota("bulk", 1, 1000), quota("check", 3, 1000)]);
+    for index in 0..2 {
+        bench.site.at(index, |e| e.usual = Fault::Answer(20));
+    }
+    let bulk = start_many(&bench, "bulk", 400).await;
+    wait(200).await;
+    let before = runs_of_team(&bench, "bulk");
+    let check = start_many(&bench, "check", 300).await;
+    wait(1000).await;
+    let (bulk_runs, check_runs) = (
+        runs_of_team(&bench, "bulk") - before,
+        runs_of_team(&bench, "check"),
+    );
+    // 4 slots, 20 ms each (21 ms with the timer), 1 s: about 200 requests.
+    let share = check_runs * 100 / (bulk_runs + check_runs);
+    assert!((72..=78).contains(&share), "{check_runs} to {bulk_runs}");
+    drop((bulk, check));
+}
+
+/// Guards against slot time being ignored: a team with requests ten times as
+/// long gets as much slot time as the other one, not ten times as much.
+#[tokio::test(start_paused = true)]
+async fn long_requests_are_charged_their_time() {
+    let bench = Bench::new(RouterSettings::default(), 8, 1);
+    bench
+        .router
+        .set_teams(vec![quota("a", 1, 1000), quota("b", 1, 1000)]);
+    for index in 0..8 {
+        bench.site.at(index, |e| {
+            e.usual = Fault::Answer(10);
+            e.slow = Some(("b".to_owned(), 100));
+        });
+    }
+    let handles = (
+        start_many(&bench, "a", 800).await,
+        start_many(&bench, "b", 200).await,
+    );
+    wait(1500).await;
+    let (a, b) = (runs_of_team(&bench, "a"), runs_of_team(&bench, "b"));
+    let ratio = 10 * a / b;
+    assert!((75..=125).contains(&ratio), "{a} to {b}");
+    drop(handles);
+}
+
+/// Guards against a long request that ran while nobody waited holding back
+/// its team later.
+#[tokio::test(start_paused = true)]
+async fn use_without_contention_is_not_charged() {
+    let bench = Bench::new(RouterSettings::default(), 1, 2);
+    bench
+        .router
+        .set_teams(vec![quota("a", 1, 1000), quota("b", 1, 1000)]);
+    bench.site.at(0, |e| e.usual = Fault::Answer(10_000));
+    let first = start(&bench.router, request("a-first", "a", false, 60_000)).await;
+    wait(9_900).await;
+    bench.site.at(0, |e| e.usual = Fault::Answer(20));
+    let b = start_many(&bench, "b", 200).await;
+    let a = start_many(&bench, "a", 200).await;
+    wait(1100).await;
+    let (a_runs, b_runs) = (runs_of_team(&bench, "a-"), runs_of_team(&bench, "b-"));
+    assert!(a_runs * 10 >= b_runs * 7, "{a_runs} to {b_runs}");
+    drop((first, a, b));
+}
+
+/// Guards against a full queue refusing the team that is within its share.
+#[tokio::test(start_paused = true)]
+async fn full_queue_refuses_the_team_most_over_its_share() {
+    let settings = RouterSettings {
+        max_waiting: 10,
+        ..RouterSettings::default()
+    };
+    let bench = Bench::new(settings, 1, 1);
+    bench
+        .router
+        .set_teams(vec![quota("bulk", 1, 1000), quota("check", 1, 1000)]);
+    bench.site.at(0, |e| e.usual = Fault::Answer(50));
+    let bulk = start_many(&bench, "bulk", 11).await;
+    let check = start_many(&bench, "check", 4).await;
+    // Its own request is refused when the arriving team is the one over.
+    let over = bench.route(request("over", "bulk", false, 5000)).await;
+    let Err(RouteError::Overloaded { retry_after }) = over else {
+        panic!("expected a refusal, got {over:?}");
+    };
+    assert!((MilliSpan::new(100)..=MilliSpan::new(15_000)).contains(&retry_after));
+    let mut refused = Vec::new();
+    for (index, handle) in bulk.into_iter().enumerate() {
+        match handle.await.expect("no panic") {
+            Ok(_) => {}
+            Err(RouteError::Overloaded { .. }) => refused.push(index),
+            Err(error) => panic!("{error}"),
+        }
+    }
+    assert_eq!(refused, [7, 8, 9, 10], "the newest are refused");
+    for handle in check {
+        handle.await.expect("no panic").expect("answered");
+    }
+    for id in ["over", "bulk-7", "bulk-10"] {
+        assert_eq!(bench.site.runs_of(id), 0);
+    }
+}
+
+/// Guards against few large requests filling the memory.
+#[tokio::test(start_paused = true)]
+async fn queue_is_bounded_in_bytes() {
+    let settings = RouterSettings {
+        max_waiting_bytes: 3000,
+        ..RouterSettings::default()
+    };
+    let bench = Bench::new(settings, 1, 1);
+    bench.site.at(0, |e| e.usual = Fault::Answer(50));
+    let first = start_many(&bench, "a", 1).await;
+    let mut results = Vec::new();
+    for index in 0..5 {
+        let mut request = request(&format!("r{index}"), "a", false, 5000);
+        request.body = vec![0; 1000].into();
+        results.push(start(&bench.router, request).await);
+    }
+    let results = futures::future::join_all(results).await;
+    let refused = results.iter().filter(|r| !matches!(r, Ok(Ok(_)))).count();
+    assert_eq!(refused, 2);
+    drop(first);
+}
+
+/// Guards against a request that waited in vain being reported as sent, and
+/// against its place staying taken.
+#[tokio::test(start_paused = true)]
+async fn deadline_in_the_queue_is_not_run() {
+    let bench = Bench::new(RouterSettings::default(), 1, 1);
+    bench.site.at(0, |e| e.usual = Fault::Answer(500));
+    let first = start(&bench.router, request("first", "a", false, 1000)).await;
+    let result = bench.route(request("late", "a", false, 100)).await;
+    assert_eq!(result, Err(RouteError::DeadlineBeforeSend));
+    assert_eq!(bench.router.loads()[0].waiting, 0);
+    first.await.expect("no panic").expect("answered");
+    wait(500).await;
+    assert_eq!(bench.site.runs_of("late"), 0);
+}
+
+/// Guards against a caller that went away keeping its place in the queue.
+#[tokio::test(start_paused = true)]
+async fn caller_that_goes_away_frees_its_place() {
+    let settings = RouterSettings {
+        max_waiting: 1,
+        ..RouterSettings::default()
+    };
+    let bench = Bench::new(settings, 1, 1);
+    bench.site.at(0, |e| e.usual = Fault::Answer(100));
+    let first = start(&bench.router, request("first", "a", false, 1000)).await;
+    let gone = start(&bench.router, request("gone", "a", false, 1000)).await;
+    gone.abort();
+    wait(1).await;
+    assert_eq!(bench.router.loads()[0].waiting, 0);
+    let answer = bench.route(request("next", "a", false, 1000)).await;
+    assert_eq!(answer.expect("answered").body, "next");
+    first.await.expect("no panic").expect("answered");
+    assert_eq!(bench.site.runs_of("gone"), 0);
+}
--- /dev/null
+++ b/tests/tests/route_log.rs
@@ -0,0 +1,62 @@
+//! Tests of the log lines of routing decisions.
+
+mod route_support;
+
+use std::sync::Mutex;
+
+use log::{LevelFilter, Log, Metadata, Record};
+use pimentochute_route::RouterSettings;
+use route_support::{Bench, Fault, request};
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct LineLog;
+
+impl Log for LineLog {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        LINES
+            .lock()
+            .expect("not poisoned")
+            .push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+/// Guards against decisions that cannot be traced: where a request went and
+/// why, or why it ended. A request id cannot forge a line of its own.
+#[tokio::test(start_paused = true)]
+async fn each_decision_has_one_line() {
+    log::set_logger(&LineLog).expect("no other logger");
+    log::set_max_level(LevelFilter::Info);
+    let bench = Bench::new(RouterSettings::default(), 2, 1);
+    bench
+        .site
+        .at(0, |e| e.script.push_back(Fault::LostBeforeRun));
+    bench
+        .site
+        .at(1, |e| e.script.push_back(Fault::LostBeforeRun));
+    // Both slots are held for a second and the margin.
+    let ended = bench.route(request("r\n1", "a", true, 1000)).await;
+    ended.expect_err("no slot in time");
+    bench
+        .route(request("r2", "b", true, 1000))
+        .await
+        .expect_err("no permits");
+    let lines = LINES.lock().expect("not poisoned");
+    assert_eq!(lines.len(), 6, "{lines:#?}");
+    for line in lines.iter() {
+        assert!(line.starts_with("router: request "), "{line}");
+        assert!(
+            line.contains("of team ") && line.contains("for service price"),
+            "{line}"
+        );
+        assert!(line.contains("because") && !line.contains('\n'), "{line}");
+    }
+    assert!(lines[2].contains("goes to endpoint e1"), "{lines:#?}");
+    assert!(lines[5].contains("ends as overloaded"), "{lines:#?}");
+}
--- /dev/null
+++ b/tests/tests/route_quota.rs
@@ -0,0 +1,63 @@
+//! Tests of the split of limits, slots and connections over hosts.
+
+use pimentochute_base::{EndpointName, TeamName};
+use pimentochute_route::{HostPosition, host_permits, owned_connections, owned_slots};
+use proptest::prelude::*;
+
+fn parts(limit: u32, team: &TeamName, centres: u32, hosts: u32) -> Vec<u32> {
+    (0..centres)
+        .flat_map(|centre| (0..hosts).map(move |host| (centre, HostPosition::new(host, hosts))))
+        .map(|(centre, host)| host_permits(limit, team, centre, centres, host))
+        .collect()
+}
+
+proptest! {
+    /// Guards against hosts together allowing more or less than the limit.
+    #[test]
+    fn permits_sum_to_the_limit(
+        limit in 0_u32..5000, name in "[a-z]{1,8}", centres in 1_u32..13, hosts in 1_u32..10,
+    ) {
+        let team = TeamName::new(&name).expect("valid name");
+        let parts = parts(limit, &team, centres, hosts);
+        prop_assert_eq!(parts.iter().sum::<u32>(), limit);
+    }
+
+    /// Guards against the sum exceeding both limits while hosts adopt a
+    /// change at different times: each part must be monotone in the limit.
+    #[test]
+    fn permits_are_monotone(
+        limit in 0_u32..5000, name in "[a-z]{1,8}", centres in 1_u32..13, hosts in 1_u32..10,
+    ) {
+        let team = TeamName::new(&name).expect("valid name");
+        let smaller = parts(limit, &team, centres, hosts);
+        let larger = parts(limit + 1, &team, centres, hosts);
+        prop_assert!(smaller.iter().zip(&larger).all(|(a, b)| a <= b));
+    }
+
+    /// Guards against two hosts using one slot, and against unused slots.
+    #[test]
+    fn slots_and_connections_are_partitioned(
+        name in "[a-z]{1,8}", slots in 0_u32..200, connections in 0_u32..200, hosts in 1_u32..10,
+    ) {
+        let name = EndpointName::new(&name).expect("valid name");
+        let positions = (0..hosts).map(|index| HostPosition::new(index, hosts));
+        let owned: u32 = positions.clone().map(|host| owned_slots(&name, slots, host)).sum();
+        prop_assert_eq!(owned, slots);
+        let opened: u32 = positions.map(|host| owned_connections(connections, host)).sum();
+        prop_assert!(opened <= connections);
+    }
+}
+
+/// Guards against the remainders of many small limits gathering on one host.
+#[test]
+fn remainders_are_spread_over_hosts() {
+    let mut sums = [0_u32; 9];
+    for index in 0..900 {
+        let team = TeamName::new(&format!("team-{index}")).expect("valid name");
+        for (sum, part) in sums.iter_mut().zip(parts(1, &team, 1, 9)) {
+            *sum += part;
+        }
+    }
+    // 100 expected per host; five standard deviations are about 47.
+    assert!(sums.iter().all(|sum| (53..=147).contains(sum)), "{sums:?}");
+}
--- /dev/null
+++ b/tests/tests/route_support/mod.rs
@@ -0,0 +1,549 @@
+//! Fakes for the tests of the router: endpoints that record what they run,
+//! peers that call other routers, and a clock that follows tokio's time.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use pimentochute_base::{
+    EndpointName, HostName, MilliClock, MilliSpan, MilliTime, ServiceName, TeamName,
+};
+use pimentochute_platform::{
+    ConnectError, DispatchError, EndpointAnswer, EndpointConnection, EndpointDialer,
+    EndpointRequest, ProbeError,
+};
+use pimentochute_route::{
+    EndpointSpec, EndpointStatus, HostPosition, PeerForward, PeerLoad, RequestOrigin, RequestRoute,
+    RequestRouter, RouteError, RoutedAnswer, RoutedRequest, RouterSettings, TeamQuota,
+};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Runs it and answers after some milliseconds.
+    Answer(u64),
+    /// The connection turns out to be closed before a byte was sent.
+    NotSent,
+    /// The connection breaks; the endpoint never sees the request.
+    LostBeforeRun,
+    /// The connection breaks after the endpoint began to run it.
+    LostWhileRunning(u64),
+    /// Runs it; the answer of another request arrives.
+    Crossed(u64),
+    /// Runs it until its deadline and never answers.
+    Silent,
+    /// States that it does not run it.
+    Refuse,
+}
+
+/// What a connect does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectFault {
+    Accept,
+    Refuse,
+    Hang,
+}
+
+/// What an endpoint has seen.
+#[derive(Debug)]
+pub struct EndpointRecord {
+    /// The ids of requests that were begun, in order.
+    pub runs: Vec<String>,
+    pub running: u32,
+    pub max_running: u32,
+    pub open: u32,
+    pub max_open: u32,
+    pub connects: u32,
+    pub probes: u32,
+    /// What to do with the next requests; then `usual`.
+    pub script: VecDeque<Fault>,
+    pub usual: Fault,
+    /// The prefix of ids whose requests take this time instead.
+    pub slow: Option<(String, u64)>,
+    pub connect_script: VecDeque<ConnectFault>,
+    pub usual_connect: ConnectFault,
+    /// Whether probes go unanswered on every connection.
+    pub mute_probes: bool,
+}
+
+impl Default for EndpointRecord {
+    fn default() -> Self {
+        Self {
+            runs: Vec::new(),
+            running: 0,
+            max_running: 0,
+            open: 0,
+            max_open: 0,
+            connects: 0,
+            probes: 0,
+            script: VecDeque::new(),
+            usual: Fault::Answer(1),
+            slow: None,
+            connect_script: VecDeque::new(),
+            usual_connect: ConnectFault::Accept,
+            mute_probes: false,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct SiteState {
+    pub endpoints: BTreeMap<SocketAddr, EndpointRecord>,
+    /// The connections that never answer again.
+    pub silenced: BTreeSet<u64>,
+    pub next_serial: u64,
+}
+
+/// All endpoints of a test.
+#[derive(Debug, Clone, Default)]
+pub struct FakeSite(Arc<Mutex<SiteState>>);
+
+impl FakeSite {
+    pub fn lock(&self) -> MutexGuard<'_, SiteState> {
+        self.0.lock().expect("no test thread panicked")
+    }
+
+    /// Reads or changes the record of endpoint `index`.
+    pub fn at<T>(&self, index: u16, change: impl FnOnce(&mut EndpointRecord) -> T) -> T {
+        change(self.lock().endpoints.entry(address(index)).or_default())
+    }
+
+    /// Counts how often a request was begun at any endpoint.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let state = self.lock();
+        let runs = state.endpoints.values().flat_map(|e| &e.runs);
+        runs.filter(|run| *run == id).count()
+    }
+
+    /// Makes all connections that are open now silent.
+    pub fn silence_open_connections(&self) {
+        let mut state = self.lock();
+        let serials = 0..state.next_serial;
+        state.silenced.extend(serials);
+    }
+
+    fn begin_run(&self, address: SocketAddr, id: &str, span: Duration) -> EndpointRun {
+        let mut state = self.lock();
+        let record = state.endpoints.entry(address).or_default();
+        record.runs.push(id.to_owned());
+        record.running += 1;
+        record.max_running = record.max_running.max(record.running);
+        let run = EndpointRun {
+            site: self.clone(),
+            address,
+            ended: Arc::new(AtomicBool::new(false)),
+        };
+        // The endpoint goes on when its caller has gone.
+        let going_on = run.clone();
+        tokio::spawn(async move {
+            sleep(span).await;
+            going_on.end();
+        });
+        run
+    }
+}
+
+/// A request that an endpoint runs.
+#[derive(Clone)]
+struct EndpointRun {
+    site: FakeSite,
+    address: SocketAddr,
+    ended: Arc<AtomicBool>,
+}
+
+impl EndpointRun {
+    /// Ends the run before its answer is sent.
+    fn end(&self) {
+        if !self.ended.swap(true, Ordering::SeqCst) {
+            let mut state = self.site.lock();
+            state.endpoints.entry(self.address).or_default().running -= 1;
+        }
+    }
+}
+
+impl EndpointDialer for FakeSite {
+    fn connect(
+        &self,
+        address: SocketAddr,
+        _timeout: MilliSpan,
+    ) -> BoxFuture<'_, Result<Box<dyn EndpointConnection>, ConnectError>> {
+        async move {
+            let fault = {
+                let mut state = self.lock();
+                let record = state.endpoints.entry(address).or_default();
+                record.connects += 1;
+                let usual = record.usual_connect;
+                record.connect_script.pop_front().unwrap_or(usual)
+            };
+            match fault {
+                ConnectFault::Hang => return pending().await,
+                ConnectFault::Refuse => {
+                    let detail = "refused".to_owned();
+                    return Err(ConnectError { detail });
+                }
+                ConnectFault::Accept => {}
+            }
+            let mut state = self.lock();
+            state.next_serial += 1;
+            let serial = state.next_serial - 1;
+            let record = state.endpoints.entry(address).or_default();
+            record.open += 1;
+            record.max_open = record.max_open.max(record.open);
+            let connection: Box<dyn EndpointConnection> = Box::new(FakeConnection {
+                site: self.clone(),
+                address,
+                serial,
+                unread: None,
+            });
+            Ok(connection)
+        }
+        .boxed()
+    }
+}
+
+/// A connection of a transport that trusts the order of answers: an answer
+/// that was not read is handed to the next request.
+struct FakeConnection {
+    site: FakeSite,
+    address: SocketAddr,
+    serial: u64,
+    unread: Option<Bytes>,
+}
+
+impl FakeConnection {
+    async fn exchange(
+        &mut self,
+        request: EndpointRequest,
+    ) -> Result<EndpointAnswer, DispatchError> {
+        let whole = |body| EndpointAnswer {
+            status: 200,
+            not_run: false,
+            body,
+        };
+        if let Some(body) = self.unread.take() {
+            return Ok(whole(body));
+        }
+        if self.site.lock().silenced.contains(&self.serial) {
+            return pending().await;
+        }
+        let fault = {
+            let mut state = self.site.lock();
+            let record = state.endpoints.entry(self.address).or_default();
+            let usual = record.usual;
+            match &record.slow {
+                Some((prefix, millis)) if request.id.starts_with(prefix) => Fault::Answer(*millis),
+                _ => record.script.pop_front().unwrap_or(usual),
+            }
+        };
+        let detail = String::new();
+        let deadline = request.deadline.as_duration();
+        let body = Bytes::from(request.id.clone());
+        let run = |millis: u64| {
+            let span = Duration::from_millis(millis).min(deadline);
+            self.site.begin_run(self.address, &request.id, span)
+        };
+        self.unread = Some(body.clone());
+        match fault {
+            Fault::NotSent => return Err(DispatchError::NotSent { detail }),
+            Fault::LostBeforeRun => return Err(DispatchError::OutcomeUnknown { detail }),
+            Fault::LostWhileRunning(millis) => {
+                run(millis);
+                return Err(DispatchError::OutcomeUnknown { detail });
+            }
+            Fault::Crossed(millis) => {
+                run(millis);
+                return Err(DispatchError::Mismatch);
+            }
+            Fault::Silent => {
+                run(u64::MAX);
+                return pending().await;
+            }
+            Fault::Refuse => {}
+            Fault::Answer(millis) => {
+                let run = run(millis);
+                sleep(Duration::from_millis(millis)).await;
+                run.end();
+            }
+        }
+        self.unread = None;
+        Ok(EndpointAnswer {
+            not_run: fault == Fault::Refuse,
+            ..whole(body)
+        })
+    }
+}
+
+impl EndpointConnection for FakeConnection {
+    // Ignores the timeout: the router has to bound the time itself.
+    fn send(
+        &mut self,
+        request: EndpointRequest,
+        _timeout: MilliSpan,
+    ) -> BoxFuture<'_, Result<EndpointAnswer, DispatchError>> {
+        self.exchange(request).boxed()
+    }
+
+    fn probe(&mut self, _timeout: MilliSpan) -> BoxFuture<'_, Result<(), ProbeError>> {
+        async move {
+            let mute = {
+                let mut state = self.site.lock();
+                let silenced = state.silenced.contains(&self.serial);
+                let record = state.endpoints.entry(self.address).or_default();
+                record.probes += 1;
+                silenced || record.mute_probes
+            };
+            if mute {
+                return pending().await;
+            }
+            Ok(())
+        }
+        .boxed()
+    }
+}
+
+impl Drop for FakeConnection {
+    fn drop(&mut self) {
+        let mut state = self.site.lock();
+        state.endpoints.entry(self.address).or_default().open -= 1;
+    }
+}
+
+/// What a forward does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerFault {
+    /// The peer routes the request and answers.
+    Route,
+    /// The request was not sent to the peer.
+    Unreachable,
+    /// The peer refuses the request because it is stopping.
+    Drain,
+    /// The peer routes the request; its answer is lost.
+    AnswerLost,
+    /// The peer never answers and never routed it.
+    Silent,
+}
+
+/// The other routers of a data centre.
+#[derive(Clone, Default)]
+pub struct FakePeers(Arc<Mutex<PeersState>>);
+
+#[derive(Default)]
+struct PeersState {
+    routers: HashMap<HostName, RequestRouter>,
+    script: VecDeque<PeerFault>,
+    forwards: u32,
+}
+
+impl FakePeers {
+    pub fn add(&self, host: &str, router: &RequestRouter) {
+        let host = HostName::new(host).expect("valid name");
+        let mut state = self.0.lock().expect("not poisoned");
+        state.routers.insert(host, router.clone());
+    }
+
+    pub fn script(&self, faults: impl IntoIterator<Item = PeerFault>) {
+        self.0.lock().expect("not poisoned").script.extend(faults);
+    }
+
+    /// Returns how often a forward was begun.
+    pub fn forwards(&self) -> u32 {
+        self.0.lock().expect("not poisoned").forwards
+    }
+}
+
+impl PeerForward for FakePeers {
+    fn loads(&self, service: &ServiceName) -> Vec<PeerLoad> {
+        let state = self.0.lock().expect("not poisoned");
+        let mut loads: Vec<_> = state
+            .routers
+            .iter()
+            .flat_map(|(host, router)| router.loads().into_iter().map(move |l| (host, l)))
+            .filter(|(_, load)| load.service == *service)
+            .map(|(host, load)| PeerLoad {
+                host: host.clone(),
+                free_slots: load.free_slots,
+                waiting: load.waiting,
+            })
+            .collect();
+        loads.sort_by(|a, b| a.host.cmp(&b.host));
+        loads
+    }
+
+    fn forward<'a>(
+        &'a self,
+        host: &'a HostName,
+        request: RoutedRequest,
+    ) -> BoxFuture<'a, Result<RoutedAnswer, RouteError>> {
+        async move {
+            let (router, fault) = {
+                let mut state = self.0.lock().expect("not poisoned");
+                state.forwards += 1;
+                let fault = state.script.pop_front().unwrap_or(PeerFault::Route);
+                (state.routers.get(host).cloned(), fault)
+            };
+            let (Some(router), false) = (router, fault == PeerFault::Unreachable) else {
+                return Err(RouteError::PeerUnreachable);
+            };
+            match fault {
+                PeerFault::Silent => return pending().await,
+                PeerFault::Drain => return Err(RouteError::Draining),
+                _ => {}
+            }
+            assert_eq!(request.origin, RequestOrigin::Peer);
+            let result = router.route(request).await;
+            match fault {
+                PeerFault::AnswerLost => Err(RouteError::OutcomeUnknown),
+                _ => result,
+            }
+        }
+        .boxed()
+    }
+}
+
+/// Returns a clock that follows tokio's paused time.
+pub fn paused_clock() -> MilliClock {
+    let clock = MilliClock::manual(MilliTime::ZERO);
+    let ticking = clock.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(1)).await;
+            ticking.advance(MilliSpan::new(1));
+        }
+    });
+    clock
+}
+
+pub fn address(index: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1000 + index))
+}
+
+pub fn team(name: &str) -> TeamName {
+    TeamName::new(name).expect("valid name")
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("price").expect("valid name")
+}
+
+pub fn endpoint_name(index: u16) -> EndpointName {
+    EndpointName::new(&format!("e{index}")).expect("valid name")
+}
+
+pub fn endpoint(index: u16, slots: u32) -> EndpointSpec {
+    EndpointSpec {
+        name: endpoint_name(index),
+        service: service(),
+        address: address(index),
+        slots,
+        connections: 64,
+        status: EndpointStatus::Live,
+    }
+}
+
+pub fn endpoints(count: u16, slots: u32) -> Vec<EndpointSpec> {
+    (0..count).map(|index| endpoint(index, slots)).collect()
+}
+
+pub fn quota(name: &str, share: u32, permits: u32) -> TeamQuota {
+    TeamQuota {
+        team: team(name),
+        share,
+        permits,
+    }
+}
+
+pub fn request(id: &str, team_name: &str, idempotent: bool, millis: u64) -> RoutedRequest {
+    RoutedRequest {
+        id: id.to_owned(),
+        team: team(team_name),
+        service: service(),
+        idempotent,
+        deadline: MilliSpan::new(millis),
+        origin: RequestOrigin::Caller,
+        body: Bytes::from(id.to_owned()),
+    }
+}
+
+/// Starts a request and gives it time to be admitted.
+pub async fn start(
+    router: &RequestRouter,
+    request: RoutedRequest,
+) -> JoinHandle<Result<RoutedAnswer, RouteError>> {
+    let router = router.clone();
+    let handle = tokio::spawn(async move { router.route(request).await });
+    tokio::task::yield_now().await;
+    handle
+}
+
+pub async fn wait(millis: u64) {
+    sleep(Duration::from_millis(millis)).await;
+}
+
+/// One host with its endpoints.
+pub struct Bench {
+    pub clock: MilliClock,
+    pub site: FakeSite,
+    pub peers: FakePeers,
+    pub router: RequestRouter,
+}
+
+impl Bench {
+    /// Creates the only host of a data centre, with team "a" of share one and
+    /// many permits.
+    pub fn new(settings: RouterSettings, count: u16, slots: u32) -> Self {
+        let clock = paused_clock();
+        let site = FakeSite::default();
+        Self::at(
+            settings,
+            HostPosition::new(0, 1),
+            &site,
+            &clock,
+            endpoints(count, slots),
+        )
+    }
+
+    /// Creates a host of a data centre.
+    pub fn at(
+        settings: RouterSettings,
+        host: HostPosition,
+        site: &FakeSite,
+        clock: &MilliClock,
+        endpoints: Vec<EndpointSpec>,
+    ) -> Self {
+        let peers = FakePeers::default();
+        let router = RequestRouter::new(
+            settings,
+            host,
+            Arc::new(site.clone()),
+            Arc::new(peers.clone()),
+            clock.clone(),
+        );
+        router.set_endpoints(endpoints);
+        router.set_teams(vec![quota("a", 1, 1000)]);
+        Self {
+            clock: clock.clone(),
+            site: site.clone(),
+            peers,
+            router,
+        }
+    }
+
+    pub async fn route(&self, request: RoutedRequest) -> Result<RoutedAnswer, RouteError> {
+        self.router.route(request).await
+    }
+
+    /// Returns the slots in use over all endpoints.
+    pub fn in_use(&self) -> u32 {
+        self.router.endpoints().iter().map(|e| e.in_use).sum()
+    }
+}
