Add in-memory fakes of log, workers, endpoints and host list

Cause: the other crates need the outside systems in their tests before the HTTP clients and the stand-in programs exist.

--- /dev/null
+++ b/crates/pimentochute-standins/src/endpoint_ledger.rs
@@ -0,0 +1,61 @@
+//! What an endpoint records for an invariant checker, and its slots.
+
+use pimentochute_base::{MilliSpan, MilliTime};
+use serde::{Deserialize, Serialize};
+
+/// The slots of an endpoint and every request that it ran.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLedger {
+    /// The requests that the endpoint ran, in the order of their starts.
+    pub runs: Vec<RequestRun>,
+    /// The requests that run now.
+    pub running: u32,
+    /// The requests that arrived while all slots were in use.
+    pub slot_violations: u64,
+    /// The connections that were opened while all allowed ones were open.
+    pub connection_violations: u64,
+}
+
+/// One request that an endpoint ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestRun {
+    /// The request's identifier.
+    pub id: String,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// When the request began to run.
+    pub at: MilliTime,
+}
+
+impl EndpointLedger {
+    /// Takes a slot and records the request; counts a violation and returns
+    /// false if all `slots` are in use.
+    pub fn begin(&mut self, slots: u32, run: RequestRun) -> bool {
+        if self.running >= slots {
+            self.slot_violations += 1;
+            return false;
+        }
+        self.running += 1;
+        self.runs.push(run);
+        true
+    }
+
+    /// Frees a slot.
+    pub fn finish(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Returns how often the endpoint ran a request.
+    #[must_use]
+    pub fn count_of(&self, id: &str) -> usize {
+        self.runs.iter().filter(|run| run.id == id).count()
+    }
+}
+
+/// Returns how long a request with this body takes: `sleep MS` or no time.
+#[must_use]
+pub fn sleep_of(body: &[u8]) -> MilliSpan {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    let millis = text.trim().strip_prefix("sleep ");
+    MilliSpan::new(millis.and_then(|word| word.parse().ok()).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/log_store.rs
@@ -0,0 +1,129 @@
+//! The streams of the log, without I/O.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use pimentochute_base::{LogOffset, MilliSpan, MilliTime, StreamName};
+use pimentochute_platform::{LogRecord, ReadBatch, ReadError};
+
+/// The streams of a log with limited retention.
+#[derive(Debug, Default)]
+pub struct LogStore {
+    streams: BTreeMap<StreamName, StreamRecords>,
+    limit: RetentionLimit,
+}
+
+/// How long a log keeps its records; a record is removed by either limit.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RetentionLimit {
+    /// The most records that a stream keeps.
+    pub records: Option<usize>,
+    /// The longest time that a record is kept.
+    pub age: Option<MilliSpan>,
+}
+
+/// The records that one stream still keeps.
+#[derive(Debug, Default)]
+struct StreamRecords {
+    /// The offset of the first record in `records`, or the tail if it is empty.
+    first: u64,
+    records: VecDeque<(MilliTime, Bytes)>,
+}
+
+impl LogStore {
+    /// Creates a log without streams; a stream exists once it is named.
+    #[must_use]
+    pub fn new(limit: RetentionLimit) -> Self {
+        Self {
+            streams: BTreeMap::new(),
+            limit,
+        }
+    }
+
+    /// Appends a record and returns its offset.
+    pub fn append(&mut self, stream: &StreamName, payload: Bytes, now: MilliTime) -> LogOffset {
+        let limit = self.limit;
+        let records = self.streams.entry(stream.clone()).or_default();
+        let offset = records.tail();
+        records.records.push_back((now, payload));
+        records.apply_limit(limit, now);
+        LogOffset::new(offset)
+    }
+
+    /// Reads at most `max_records` from `from` on. A reader beyond the tail
+    /// gets no records and a tail smaller than `from`.
+    ///
+    /// # Errors
+    /// [`ReadError::BehindRetention`] if `from` is no longer kept.
+    pub fn read(
+        &mut self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+        now: MilliTime,
+    ) -> Result<ReadBatch, ReadError> {
+        let limit = self.limit;
+        let Some(records) = self.streams.get_mut(stream) else {
+            return Ok(empty_batch());
+        };
+        records.apply_limit(limit, now);
+        records.read(from.get(), max_records)
+    }
+
+    /// Removes the records of a stream before `first`.
+    pub fn trim_before(&mut self, stream: &StreamName, first: LogOffset) {
+        if let Some(records) = self.streams.get_mut(stream) {
+            while records.first < first.get() && records.drop_first() {}
+        }
+    }
+}
+
+impl StreamRecords {
+    fn tail(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn drop_first(&mut self) -> bool {
+        let dropped = self.records.pop_front().is_some();
+        self.first += u64::from(dropped);
+        dropped
+    }
+
+    fn apply_limit(&mut self, limit: RetentionLimit, now: MilliTime) {
+        while limit.records.is_some_and(|most| self.records.len() > most) {
+            self.drop_first();
+        }
+        while let (Some(age), Some((appended, _))) = (limit.age, self.records.front()) {
+            if now.since(*appended) < age {
+                break;
+            }
+            self.drop_first();
+        }
+    }
+
+    fn read(&self, from: u64, max_records: usize) -> Result<ReadBatch, ReadError> {
+        let first_retained = LogOffset::new(self.first);
+        let Some(skipped) = from.checked_sub(self.first) else {
+            return Err(ReadError::BehindRetention { first_retained });
+        };
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let kept = self.records.iter().skip(skipped).take(max_records);
+        let records = (from..).zip(kept).map(|(offset, (_, payload))| LogRecord {
+            offset: LogOffset::new(offset),
+            payload: payload.clone(),
+        });
+        Ok(ReadBatch {
+            records: records.collect(),
+            first_retained,
+            tail: LogOffset::new(self.tail()),
+        })
+    }
+}
+
+fn empty_batch() -> ReadBatch {
+    ReadBatch {
+        records: Vec::new(),
+        first_retained: LogOffset::new(0),
+        tail: LogOffset::new(0),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/worker_machine.rs
@@ -0,0 +1,300 @@
+//! The rules of a worker, without I/O: control lease, task leases, capacity.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::{
+    AttemptRef, EpochNumber, HostName, MilliSpan, MilliTime, RackName, ResourceAmount,
+    WorkerIncarnation,
+};
+use pimentochute_platform::{
+    ControlGrant, ControlRequest, StartOrder, TaskReport, TaskStatus, WorkerError, WorkerReport,
+};
+
+use crate::task_run::TaskRun;
+use crate::worker_ledger::{LedgerEntry, WorkerLedger};
+
+/// The time that a report of usage lags behind, long enough that a scheduler
+/// which packs by usage alone overcommits.
+const USAGE_LAG: MilliSpan = MilliSpan::new(5000);
+
+/// The state of one worker.
+///
+/// Every command takes the current time and first carries out what fell due
+/// before it, so that the state depends on the given times only.
+#[derive(Debug)]
+pub struct WorkerMachine {
+    rack: RackName,
+    capacity: ResourceAmount,
+    incarnation: WorkerIncarnation,
+    /// The last epoch granted by this incarnation.
+    epoch: EpochNumber,
+    control: Option<ControlLease>,
+    /// The tasks that run, and those that ended and were not forgotten.
+    tasks: BTreeMap<AttemptRef, TaskRun>,
+    fails_all: bool,
+    ledger: WorkerLedger,
+}
+
+#[derive(Debug)]
+struct ControlLease {
+    holder: HostName,
+    until: MilliTime,
+}
+
+impl WorkerMachine {
+    /// Creates an idle worker.
+    #[must_use]
+    pub fn new(rack: RackName, capacity: ResourceAmount, incarnation: WorkerIncarnation) -> Self {
+        Self {
+            rack,
+            capacity,
+            incarnation,
+            epoch: EpochNumber::new(0),
+            control: None,
+            tasks: BTreeMap::new(),
+            fails_all: false,
+            ledger: WorkerLedger::default(),
+        }
+    }
+
+    /// Makes every task that is started from now on fail at once.
+    pub fn set_fails_all(&mut self, fails_all: bool) {
+        self.fails_all = fails_all;
+    }
+
+    /// Loses all tasks and control, and continues as the next incarnation.
+    ///
+    /// Epochs start again from zero: an epoch is unique only within an
+    /// incarnation, and a manager has to compare incarnations.
+    pub fn restart(&mut self, now: MilliTime) {
+        self.advance(now);
+        for attempt in self.running() {
+            self.end_task(attempt, TaskStatus::Lapsed, now);
+        }
+        self.tasks.clear();
+        self.control = None;
+        self.epoch = EpochNumber::new(0);
+        self.incarnation = self.incarnation.next();
+    }
+
+    /// Ends every task that is due by `now`, in the order of the due times.
+    pub fn advance(&mut self, now: MilliTime) {
+        let due = |machine: &Self| {
+            let ends = machine.tasks.iter().filter_map(|(attempt, task)| {
+                let (at, status) = task.next_end()?;
+                (at <= now).then_some((at, *attempt, status))
+            });
+            ends.min_by_key(|(at, attempt, _)| (*at, *attempt))
+        };
+        while let Some((at, attempt, status)) = due(self) {
+            self.end_task(attempt, status, at);
+        }
+    }
+
+    /// Grants control under the next epoch.
+    ///
+    /// # Errors
+    /// [`WorkerError::Held`] while another host's control lease runs.
+    pub fn acquire(
+        &mut self,
+        request: &ControlRequest,
+        now: MilliTime,
+    ) -> Result<ControlGrant, WorkerError> {
+        self.advance(now);
+        if let Some(control) = &self.control
+            && control.until > now
+            && control.holder != request.holder
+        {
+            let holder = control.holder.clone();
+            return Err(WorkerError::Held { holder });
+        }
+        self.epoch = self.epoch.next();
+        self.control = Some(ControlLease {
+            holder: request.holder.clone(),
+            until: now + request.lease,
+        });
+        Ok(ControlGrant {
+            epoch: self.epoch,
+            rack: self.rack.clone(),
+            capacity: self.capacity,
+            report: self.report(now),
+        })
+    }
+
+    /// Extends the control lease and the leases of the running tasks in `keep`.
+    ///
+    /// # Errors
+    /// [`WorkerError::StaleEpoch`] if the epoch is not in force.
+    pub fn renew(
+        &mut self,
+        epoch: EpochNumber,
+        keep: &[AttemptRef],
+        control_lease: MilliSpan,
+        task_lease: MilliSpan,
+        now: MilliTime,
+    ) -> Result<WorkerReport, WorkerError> {
+        let control = self.check_control(epoch, now)?;
+        control.until = control.until.max(now + control_lease);
+        for attempt in keep {
+            if let Some(task) = self.tasks.get_mut(attempt) {
+                task.extend(now + task_lease);
+            }
+        }
+        Ok(self.report(now))
+    }
+
+    /// Starts a task unless the attempt is known already.
+    ///
+    /// # Errors
+    /// Fails if the incarnation or epoch is not in force, or without room.
+    pub fn start(
+        &mut self,
+        epoch: EpochNumber,
+        order: &StartOrder,
+        now: MilliTime,
+    ) -> Result<(), WorkerError> {
+        if order.incarnation != self.incarnation {
+            return Err(WorkerError::OtherIncarnation);
+        }
+        self.check_control(epoch, now)?;
+        if self.tasks.contains_key(&order.attempt) {
+            return Ok(());
+        }
+        if !self.has_room(&order.demand) {
+            self.ledger.refused_orders += 1;
+            return Err(WorkerError::NoRoom);
+        }
+        let task = TaskRun::new(order, now, self.fails_all);
+        self.tasks.insert(order.attempt, task);
+        self.record(order.attempt, TaskStatus::Running, now);
+        self.advance(now);
+        Ok(())
+    }
+
+    /// Stops a task after `grace`; an unknown or ended one stays as it is.
+    ///
+    /// # Errors
+    /// [`WorkerError::StaleEpoch`] if the epoch is not in force.
+    pub fn stop(
+        &mut self,
+        epoch: EpochNumber,
+        attempt: AttemptRef,
+        grace: MilliSpan,
+        now: MilliTime,
+    ) -> Result<(), WorkerError> {
+        self.check_control(epoch, now)?;
+        if let Some(task) = self.tasks.get_mut(&attempt) {
+            task.stop_by(now + grace);
+        }
+        self.advance(now);
+        Ok(())
+    }
+
+    /// Drops the reports of ended tasks; running ones are kept.
+    ///
+    /// # Errors
+    /// [`WorkerError::StaleEpoch`] if the epoch is not in force.
+    pub fn forget(
+        &mut self,
+        epoch: EpochNumber,
+        attempts: &[AttemptRef],
+        now: MilliTime,
+    ) -> Result<(), WorkerError> {
+        self.check_control(epoch, now)?;
+        self.tasks
+            .retain(|attempt, task| task.is_running() || !attempts.contains(attempt));
+        Ok(())
+    }
+
+    /// Gives up control; the epoch is not used again by this incarnation.
+    ///
+    /// # Errors
+    /// [`WorkerError::StaleEpoch`] if the epoch is not in force.
+    pub fn release(&mut self, epoch: EpochNumber, now: MilliTime) -> Result<(), WorkerError> {
+        self.check_control(epoch, now)?;
+        self.control = None;
+        Ok(())
+    }
+
+    /// Returns the state of the worker.
+    #[must_use]
+    pub fn report(&mut self, now: MilliTime) -> WorkerReport {
+        self.advance(now);
+        let tasks = self.tasks.iter().map(|(attempt, task)| TaskReport {
+            attempt: *attempt,
+            status: task.status(),
+        });
+        let seen = |task: &&TaskRun| task.is_running() && task.started() + USAGE_LAG <= now;
+        let used = self.tasks.values().filter(seen);
+        WorkerReport {
+            incarnation: self.incarnation,
+            tasks: tasks.collect(),
+            usage: used.map(TaskRun::demand).sum(),
+        }
+    }
+
+    /// Returns the recorded starts and ends up to `now`.
+    #[must_use]
+    pub fn ledger(&mut self, now: MilliTime) -> &WorkerLedger {
+        self.advance(now);
+        &self.ledger
+    }
+
+    /// Returns the current incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> WorkerIncarnation {
+        self.incarnation
+    }
+
+    fn check_control(
+        &mut self,
+        epoch: EpochNumber,
+        now: MilliTime,
+    ) -> Result<&mut ControlLease, WorkerError> {
+        self.advance(now);
+        let in_force = self.epoch == epoch;
+        match &mut self.control {
+            Some(control) if in_force && control.until > now => Ok(control),
+            _ => Err(WorkerError::StaleEpoch),
+        }
+    }
+
+    fn running(&self) -> Vec<AttemptRef> {
+        let running = self.tasks.iter().filter(|(_, task)| task.is_running());
+        running.map(|(attempt, _)| *attempt).collect()
+    }
+
+    fn committed(&self) -> ResourceAmount {
+        let running = self.tasks.values().filter(|task| task.is_running());
+        running.map(TaskRun::demand).sum()
+    }
+
+    fn has_room(&self, demand: &ResourceAmount) -> bool {
+        let total = self.committed().checked_add(demand);
+        total.is_some_and(|total| total.fits_within(&self.capacity))
+    }
+
+    fn end_task(&mut self, attempt: AttemptRef, status: TaskStatus, at: MilliTime) {
+        if let Some(task) = self.tasks.get_mut(&attempt) {
+            task.end(status);
+            self.record(attempt, status, at);
+        }
+    }
+
+    fn record(&mut self, attempt: AttemptRef, status: TaskStatus, at: MilliTime) {
+        let Some(task) = self.tasks.get(&attempt) else {
+            return;
+        };
+        let demand = task.demand();
+        let committed = self.committed();
+        self.ledger.capacity_violations += u64::from(!committed.fits_within(&self.capacity));
+        self.ledger.entries.push(LedgerEntry {
+            attempt,
+            incarnation: self.incarnation,
+            status,
+            at,
+            demand,
+            committed,
+        });
+    }
+}
--- /dev/null
+++ b/tests/src/fake_endpoint.rs
@@ -0,0 +1,224 @@
+//! Endpoints in memory.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use pimentochute_base::{MilliClock, MilliSpan};
+use pimentochute_platform::{ConnectError, EndpointConnection, EndpointDialer, EndpointRequest};
+use pimentochute_standins::{EndpointLedger, RequestRun, sleep_of};
+
+use crate::fake_connection::FakeConnection;
+use crate::shared::SharedState;
+
+/// What goes wrong with every request that an endpoint receives.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EndpointFault {
+    /// Nothing goes wrong.
+    #[default]
+    None,
+    /// The connection takes the request, which does not run, and is silent
+    /// from then on, also after the fault is over.
+    Silent,
+    /// The request runs; its answer never arrives.
+    AnswerLost,
+    /// The request runs; only a part of its answer arrives.
+    Truncated,
+    /// The request runs; an answer with another request's id arrives.
+    Crossed,
+    /// The endpoint states that it does not run the request.
+    RefuseNotRun,
+}
+
+/// Opens connections to endpoints in memory; clones share the endpoints.
+#[derive(Debug, Clone)]
+pub struct FakeDialer {
+    clock: MilliClock,
+    endpoints: Arc<SharedState<HashMap<SocketAddr, FakeEndpoint>>>,
+}
+
+impl FakeDialer {
+    /// Creates a dialer that reaches no endpoint.
+    #[must_use]
+    pub fn new(clock: MilliClock) -> Self {
+        Self {
+            clock,
+            endpoints: Arc::default(),
+        }
+    }
+
+    /// Adds an endpoint and returns the handle to its switches and records.
+    #[must_use]
+    pub fn add(&self, address: SocketAddr, slots: u32, connections: u32) -> FakeEndpoint {
+        let endpoint = FakeEndpoint {
+            clock: self.clock.clone(),
+            state: Arc::new(SharedState::new(EndpointState::new(slots, connections))),
+        };
+        self.endpoints.lock().insert(address, endpoint.clone());
+        endpoint
+    }
+}
+
+impl EndpointDialer for FakeDialer {
+    fn connect(
+        &self,
+        address: SocketAddr,
+        _timeout: MilliSpan,
+    ) -> BoxFuture<'_, Result<Box<dyn EndpointConnection>, ConnectError>> {
+        Box::pin(async move {
+            let endpoint = self.endpoints.lock().get(&address).cloned();
+            let endpoint = endpoint.ok_or_else(|| refused("no endpoint has this address"))?;
+            let connection = endpoint.open()?;
+            Ok(Box::new(connection) as Box<dyn EndpointConnection>)
+        })
+    }
+}
+
+/// The switches and records of an endpoint; clones share them.
+#[derive(Debug, Clone)]
+pub struct FakeEndpoint {
+    clock: MilliClock,
+    state: Arc<SharedState<EndpointState>>,
+}
+
+#[derive(Debug)]
+struct EndpointState {
+    slots: u32,
+    connections: u32,
+    open: u32,
+    down: bool,
+    fault: EndpointFault,
+    latency: MilliSpan,
+    next_connection: u64,
+    /// Connections with a smaller number are silent.
+    silent_before: u64,
+    /// Connections with a smaller number are closed.
+    closed_before: u64,
+    ledger: EndpointLedger,
+}
+
+impl EndpointState {
+    fn new(slots: u32, connections: u32) -> Self {
+        Self {
+            slots,
+            connections,
+            open: 0,
+            down: false,
+            fault: EndpointFault::None,
+            latency: MilliSpan::ZERO,
+            next_connection: 0,
+            silent_before: 0,
+            closed_before: 0,
+            ledger: EndpointLedger::default(),
+        }
+    }
+}
+
+impl FakeEndpoint {
+    /// Makes the endpoint refuse new connections; open ones work on.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().down = down;
+    }
+
+    /// Sets what goes wrong with every request from now on.
+    pub fn set_fault(&self, fault: EndpointFault) {
+        self.state.lock().fault = fault;
+    }
+
+    /// Sets how long every request takes, besides `sleep MS` in its body, by
+    /// tokio's timer.
+    pub fn set_latency(&self, latency: MilliSpan) {
+        self.state.lock().latency = latency;
+    }
+
+    /// Silences the connections that are open now, for good.
+    pub fn silence_open_connections(&self) {
+        let mut state = self.state.lock();
+        state.silent_before = state.next_connection;
+    }
+
+    /// Closes the connections that are open now.
+    pub fn close_open_connections(&self) {
+        let mut state = self.state.lock();
+        state.closed_before = state.next_connection;
+    }
+
+    /// Returns the number of connections that were not dropped yet.
+    #[must_use]
+    pub fn open_connections(&self) -> u32 {
+        self.state.lock().open
+    }
+
+    /// Returns the number of connections that were ever opened.
+    #[must_use]
+    pub fn opened_connections(&self) -> u64 {
+        self.state.lock().next_connection
+    }
+
+    /// Returns what the endpoint ran, and the violations it saw.
+    #[must_use]
+    pub fn ledger(&self) -> EndpointLedger {
+        self.state.lock().ledger.clone()
+    }
+
+    fn open(&self) -> Result<FakeConnection, ConnectError> {
+        let mut state = self.state.lock();
+        if state.down {
+            return Err(refused("the fake endpoint is down"));
+        }
+        if state.open >= state.connections {
+            state.ledger.connection_violations += 1;
+            return Err(refused("the fake endpoint has too many connections"));
+        }
+        state.open += 1;
+        let number = state.next_connection;
+        state.next_connection += 1;
+        Ok(FakeConnection::new(self.clone(), number))
+    }
+
+    /// Counts a connection as dropped.
+    pub(crate) fn drop_connection(&self) {
+        self.state.lock().open -= 1;
+    }
+
+    /// Returns the fault in force for requests.
+    pub(crate) fn fault(&self) -> EndpointFault {
+        self.state.lock().fault
+    }
+
+    /// Tells whether a connection is silenced.
+    pub(crate) fn is_silent(&self, connection: u64) -> bool {
+        connection < self.state.lock().silent_before
+    }
+
+    /// Tells whether the endpoint has closed a connection.
+    pub(crate) fn is_closed(&self, connection: u64) -> bool {
+        connection < self.state.lock().closed_before
+    }
+
+    /// Takes a slot; returns how long the request takes, or none if all slots
+    /// are in use.
+    pub(crate) fn begin(&self, request: &EndpointRequest) -> Option<MilliSpan> {
+        let run = RequestRun {
+            id: request.id.clone(),
+            idempotent: request.idempotent,
+            at: self.clock.now(),
+        };
+        let mut state = self.state.lock();
+        let slots = state.slots;
+        let begun = state.ledger.begin(slots, run);
+        begun.then(|| state.latency + sleep_of(&request.body))
+    }
+
+    /// Frees a slot.
+    pub(crate) fn finish(&self) {
+        self.state.lock().ledger.finish();
+    }
+}
+
+fn refused(detail: &str) -> ConnectError {
+    ConnectError {
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/tests/src/fake_log.rs
@@ -0,0 +1,232 @@
+//! A log in memory.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use pimentochute_base::{LogOffset, MilliClock, MilliSpan, StreamName};
+use pimentochute_platform::{AppendError, LogRecord, LogService, ReadBatch, ReadError};
+use pimentochute_standins::{LogStore, RetentionLimit};
+use tokio::sync::watch;
+
+use crate::shared::SharedState;
+
+/// A log with fault switches.
+///
+/// Clones share everything. [`FakeLog::new_link`] makes a handle for another
+/// host: it shares the records and [`FakeLog::set_down`], and has its own
+/// switches for the rest.
+#[derive(Debug, Clone)]
+pub struct FakeLog {
+    service: Arc<LogState>,
+    link: Arc<SharedState<LinkFaults>>,
+}
+
+#[derive(Debug)]
+struct LogState {
+    clock: MilliClock,
+    store: SharedState<LogStore>,
+    down: SharedState<bool>,
+    /// Wakes waiting reads after any change.
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct LinkFaults {
+    cut: bool,
+    slow: MilliSpan,
+    loses_answers: bool,
+    holds_appends: bool,
+    held: Vec<(StreamName, Bytes)>,
+}
+
+impl FakeLog {
+    /// Creates an empty log that keeps every record.
+    #[must_use]
+    pub fn new(clock: MilliClock) -> Self {
+        Self::with_retention(clock, RetentionLimit::default())
+    }
+
+    /// Creates an empty log with limited retention; ages are by `clock`.
+    #[must_use]
+    pub fn with_retention(clock: MilliClock, limit: RetentionLimit) -> Self {
+        let service = LogState {
+            clock,
+            store: SharedState::new(LogStore::new(limit)),
+            down: SharedState::new(false),
+            changes: watch::Sender::new(0),
+        };
+        Self {
+            service: Arc::new(service),
+            link: Arc::default(),
+        }
+    }
+
+    /// Returns a handle to the same log with its own link faults.
+    #[must_use]
+    pub fn new_link(&self) -> Self {
+        Self {
+            service: Arc::clone(&self.service),
+            link: Arc::default(),
+        }
+    }
+
+    /// Makes the log refuse every call, of all links; waiting reads fail.
+    pub fn set_down(&self, down: bool) {
+        *self.service.down.lock() = down;
+        self.notify();
+    }
+
+    /// Makes the log unreachable over this link; waiting reads fail.
+    pub fn set_cut(&self, cut: bool) {
+        self.link.lock().cut = cut;
+        self.notify();
+    }
+
+    /// Delays the start of every call over this link, by tokio's timer.
+    pub fn set_slow(&self, slow: MilliSpan) {
+        self.link.lock().slow = slow;
+    }
+
+    /// Loses the answers of appends over this link after their effect.
+    pub fn set_loses_answers(&self, loses: bool) {
+        self.link.lock().loses_answers = loses;
+    }
+
+    /// Holds appends over this link back: the caller is told that the outcome
+    /// is unknown, and [`FakeLog::deliver_held`] lets them take effect later.
+    pub fn set_holds_appends(&self, holds: bool) {
+        self.link.lock().holds_appends = holds;
+    }
+
+    /// Appends the records that were held back, in their order.
+    pub fn deliver_held(&self) {
+        let held = std::mem::take(&mut self.link.lock().held);
+        for (stream, payload) in held {
+            self.append_now(&stream, payload);
+        }
+    }
+
+    /// Removes the records of a stream before `first`.
+    pub fn trim_before(&self, stream: &StreamName, first: LogOffset) {
+        self.service.store.lock().trim_before(stream, first);
+        self.notify();
+    }
+
+    /// Appends a record whatever the faults are.
+    pub fn append_now(&self, stream: &StreamName, payload: Bytes) -> LogOffset {
+        let now = self.service.clock.now();
+        let offset = self.service.store.lock().append(stream, payload, now);
+        self.notify();
+        offset
+    }
+
+    /// Returns the records that a stream still keeps, whatever the faults are.
+    #[must_use]
+    pub fn records(&self, stream: &StreamName) -> Vec<LogRecord> {
+        let read = |from| self.read_now(stream, from, usize::MAX);
+        let batch = match read(LogOffset::new(0)) {
+            Err(ReadError::BehindRetention { first_retained }) => read(first_retained),
+            other => other,
+        };
+        batch.map(|batch| batch.records).unwrap_or_default()
+    }
+
+    fn notify(&self) {
+        self.service.changes.send_modify(|count| *count += 1);
+    }
+
+    fn unavailable(&self) -> Option<String> {
+        let down = *self.service.down.lock();
+        let cut = self.link.lock().cut;
+        (down || cut).then(|| "the fake log is down".to_owned())
+    }
+
+    async fn delay(&self) {
+        let slow = self.link.lock().slow;
+        if slow > MilliSpan::ZERO {
+            tokio::time::sleep(slow.as_duration()).await;
+        }
+    }
+
+    fn try_append(&self, stream: &StreamName, payload: Bytes) -> Result<LogOffset, AppendError> {
+        if let Some(detail) = self.unavailable() {
+            return Err(AppendError::NotAppended { detail });
+        }
+        let mut link = self.link.lock();
+        if link.holds_appends {
+            link.held.push((stream.clone(), payload));
+            let detail = "the fake log holds the record back".to_owned();
+            return Err(AppendError::OutcomeUnknown { detail });
+        }
+        let loses_answers = link.loses_answers;
+        drop(link);
+        let offset = self.append_now(stream, payload);
+        if loses_answers {
+            let detail = "the fake log lost the answer".to_owned();
+            return Err(AppendError::OutcomeUnknown { detail });
+        }
+        Ok(offset)
+    }
+
+    fn read_now(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+    ) -> Result<ReadBatch, ReadError> {
+        let now = self.service.clock.now();
+        let mut store = self.service.store.lock();
+        store.read(stream, from, max_records, now)
+    }
+
+    fn try_read(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+    ) -> Result<ReadBatch, ReadError> {
+        match self.unavailable() {
+            Some(detail) => Err(ReadError::Unavailable { detail }),
+            None => self.read_now(stream, from, max_records),
+        }
+    }
+}
+
+impl LogService for FakeLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a StreamName,
+        payload: Bytes,
+    ) -> BoxFuture<'a, Result<LogOffset, AppendError>> {
+        Box::pin(async move {
+            self.delay().await;
+            self.try_append(stream, payload)
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait: MilliSpan,
+    ) -> BoxFuture<'a, Result<ReadBatch, ReadError>> {
+        Box::pin(async move {
+            self.delay().await;
+            let mut changes = self.service.changes.subscribe();
+            let mut timeout = std::pin::pin!(tokio::time::sleep(wait.as_duration()));
+            loop {
+                changes.mark_unchanged();
+                let batch = self.try_read(stream, from, max_records)?;
+                if !batch.records.is_empty() || wait == MilliSpan::ZERO {
+                    return Ok(batch);
+                }
+                tokio::select! {
+                    _ = changes.changed() => {}
+                    () = &mut timeout => return self.try_read(stream, from, max_records),
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/tests/src/fake_worker.rs
@@ -0,0 +1,279 @@
+//! Workers in memory.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use pimentochute_base::{
+    AttemptRef, EpochNumber, MilliClock, MilliSpan, MilliTime, RackName, ResourceAmount,
+    WorkerIncarnation, WorkerName,
+};
+use pimentochute_platform::{
+    ControlGrant, ControlRequest, StartOrder, WorkerControl, WorkerError, WorkerReport,
+    WorkerTarget,
+};
+use pimentochute_standins::{WorkerLedger, WorkerMachine};
+
+use crate::shared::SharedState;
+
+/// The first port of the made-up worker addresses.
+const FIRST_PORT: u16 = 20000;
+
+/// Workers that follow the full rules, with fault switches by name.
+///
+/// Time passes by the clock only. Clones share everything.
+/// [`FakeWorkerFleet::new_link`] makes a handle for another host, with its own
+/// [`FakeWorkerFleet::set_cut`].
+#[derive(Debug, Clone)]
+pub struct FakeWorkerFleet {
+    clock: MilliClock,
+    workers: Arc<SharedState<HashMap<WorkerName, FakeWorker>>>,
+    cut: Arc<SharedState<HashSet<WorkerName>>>,
+}
+
+struct FakeWorker {
+    machine: WorkerMachine,
+    unreachable: bool,
+    loses_answers: bool,
+    holds_commands: bool,
+    held: Vec<HeldCommand>,
+}
+
+type HeldCommand = Box<dyn FnOnce(&mut WorkerMachine, MilliTime) + Send>;
+
+impl std::fmt::Debug for FakeWorker {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut fields = f.debug_struct("FakeWorker");
+        fields.field("machine", &self.machine);
+        fields
+            .field("held", &self.held.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl FakeWorkerFleet {
+    /// Creates a fleet without workers.
+    #[must_use]
+    pub fn new(clock: MilliClock) -> Self {
+        Self {
+            clock,
+            workers: Arc::default(),
+            cut: Arc::default(),
+        }
+    }
+
+    /// Returns a handle to the same workers with its own cuts.
+    #[must_use]
+    pub fn new_link(&self) -> Self {
+        Self {
+            cut: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Adds an idle worker and returns how to reach it.
+    #[must_use]
+    pub fn add(&self, name: WorkerName, rack: RackName, capacity: ResourceAmount) -> WorkerTarget {
+        let mut workers = self.workers.lock();
+        let port = FIRST_PORT.saturating_add(u16::try_from(workers.len()).unwrap_or(u16::MAX));
+        let worker = FakeWorker {
+            machine: WorkerMachine::new(rack, capacity, WorkerIncarnation::new(1)),
+            unreachable: false,
+            loses_answers: false,
+            holds_commands: false,
+            held: Vec::new(),
+        };
+        workers.insert(name.clone(), worker);
+        WorkerTarget {
+            name,
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+        }
+    }
+
+    /// Makes a worker unreachable over this link only.
+    pub fn set_cut(&self, name: &WorkerName, cut: bool) {
+        let mut names = self.cut.lock();
+        if cut {
+            names.insert(name.clone());
+        } else {
+            names.remove(name);
+        }
+    }
+
+    /// Makes a worker unreachable for every host; its tasks run on.
+    pub fn set_unreachable(&self, name: &WorkerName, unreachable: bool) {
+        self.with(name, |worker| worker.unreachable = unreachable);
+    }
+
+    /// Loses the answers of a worker after the effect of each command.
+    pub fn set_loses_answers(&self, name: &WorkerName, loses: bool) {
+        self.with(name, |worker| worker.loses_answers = loses);
+    }
+
+    /// Holds commands back: the caller is told that the outcome is unknown,
+    /// and [`FakeWorkerFleet::deliver_held`] lets them arrive later.
+    pub fn set_holds_commands(&self, name: &WorkerName, holds: bool) {
+        self.with(name, |worker| worker.holds_commands = holds);
+    }
+
+    /// Lets the commands that were held back arrive, in their order.
+    pub fn deliver_held(&self, name: &WorkerName) {
+        let now = self.clock.now();
+        self.with(name, |worker| {
+            for command in std::mem::take(&mut worker.held) {
+                command(&mut worker.machine, now);
+            }
+        });
+    }
+
+    /// Makes every task that a worker starts from now on fail at once.
+    pub fn set_fails_all(&self, name: &WorkerName, fails: bool) {
+        self.with(name, |worker| worker.machine.set_fails_all(fails));
+    }
+
+    /// Restarts a worker: tasks and control are lost, the incarnation is the
+    /// next one, and epochs start again.
+    pub fn restart(&self, name: &WorkerName) {
+        let now = self.clock.now();
+        self.with(name, |worker| worker.machine.restart(now));
+    }
+
+    /// Returns what a worker recorded; nothing for an unknown worker.
+    #[must_use]
+    pub fn ledger(&self, name: &WorkerName) -> WorkerLedger {
+        let now = self.clock.now();
+        let ledger = self.with(name, |worker| worker.machine.ledger(now).clone());
+        ledger.unwrap_or_default()
+    }
+
+    /// Returns the state of a worker, whatever the faults are.
+    #[must_use]
+    pub fn report(&self, name: &WorkerName) -> Option<WorkerReport> {
+        let now = self.clock.now();
+        self.with(name, |worker| worker.machine.report(now))
+    }
+
+    fn with<T>(&self, name: &WorkerName, action: impl FnOnce(&mut FakeWorker) -> T) -> Option<T> {
+        self.workers.lock().get_mut(name).map(action)
+    }
+
+    fn run<T>(
+        &self,
+        target: &WorkerTarget,
+        command: impl FnOnce(&mut WorkerMachine, MilliTime) -> Result<T, WorkerError> + Send + 'static,
+    ) -> BoxFuture<'static, Result<T, WorkerError>>
+    where
+        T: Send + 'static,
+    {
+        let fleet = self.clone();
+        let name = target.name.clone();
+        Box::pin(async move {
+            let cut = fleet.cut.lock().contains(&name);
+            let now = fleet.clock.now();
+            let answer = fleet.with(&name, |worker| worker.run(cut, now, command));
+            answer.unwrap_or_else(|| Err(unreachable("the fleet has no such worker")))
+        })
+    }
+}
+
+impl FakeWorker {
+    fn run<T>(
+        &mut self,
+        cut: bool,
+        now: MilliTime,
+        command: impl FnOnce(&mut WorkerMachine, MilliTime) -> Result<T, WorkerError> + Send + 'static,
+    ) -> Result<T, WorkerError> {
+        if cut || self.unreachable {
+            return Err(unreachable("the fake worker is cut off"));
+        }
+        if self.holds_commands {
+            self.held.push(Box::new(move |machine, now| {
+                let _ = command(machine, now);
+            }));
+            return Err(unknown("the fake worker holds the command back"));
+        }
+        let answer = command(&mut self.machine, now);
+        if self.loses_answers {
+            return Err(unknown("the fake worker lost the answer"));
+        }
+        answer
+    }
+}
+
+impl WorkerControl for FakeWorkerFleet {
+    fn acquire<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        request: ControlRequest,
+    ) -> BoxFuture<'a, Result<ControlGrant, WorkerError>> {
+        self.run(worker, move |machine, now| machine.acquire(&request, now))
+    }
+
+    fn renew<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        keep: Vec<AttemptRef>,
+        control_lease: MilliSpan,
+        task_lease: MilliSpan,
+    ) -> BoxFuture<'a, Result<WorkerReport, WorkerError>> {
+        self.run(worker, move |machine, now| {
+            machine.renew(epoch, &keep, control_lease, task_lease, now)
+        })
+    }
+
+    fn start<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        order: StartOrder,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        self.run(worker, move |machine, now| {
+            machine.start(epoch, &order, now)
+        })
+    }
+
+    fn stop<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        attempt: AttemptRef,
+        grace: MilliSpan,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        self.run(worker, move |machine, now| {
+            machine.stop(epoch, attempt, grace, now)
+        })
+    }
+
+    fn forget<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        attempts: Vec<AttemptRef>,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        self.run(worker, move |machine, now| {
+            machine.forget(epoch, &attempts, now)
+        })
+    }
+
+    fn release<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        self.run(worker, move |machine, now| machine.release(epoch, now))
+    }
+}
+
+fn unreachable(detail: &str) -> WorkerError {
+    WorkerError::Unreachable {
+        detail: detail.to_owned(),
+    }
+}
+
+fn unknown(detail: &str) -> WorkerError {
+    WorkerError::OutcomeUnknown {
+        detail: detail.to_owned(),
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,13 @@
-//! placeholder
+//! In-memory fakes of the systems outside, with fault switches, for tests.
+
+mod fake_connection;
+mod fake_directory;
+mod fake_endpoint;
+mod fake_log;
+mod fake_worker;
+mod shared;
+
+pub use fake_directory::FakeDirectory;
+pub use fake_endpoint::{EndpointFault, FakeDialer, FakeEndpoint};
+pub use fake_log::FakeLog;
+pub use fake_worker::FakeWorkerFleet;
