--- /dev/null
+++ b/crates/pimentochute-server/src/control/cell.rs
@@ -0,0 +1,166 @@
+//! The state of the data centre, shared by the parts of the daemon.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError, RwLock, RwLockReadGuard};
+
+use pimentochute_base::{HostIncarnation, HostName, LogOffset, SliceIndex};
+use pimentochute_platform::LogRecord;
+use pimentochute_state::{
+    CellFold, CellRecord, CellSnapshot, RecordOutcome, RecordTag, SliceOwner, StampedRecord,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::follower::FoldTarget;
+
+/// A change of the state, in log order.
+#[derive(Debug)]
+pub(crate) enum CellChange {
+    /// A record was applied.
+    Applied(RecordOutcome),
+    /// The state was replaced by a snapshot.
+    Replaced,
+}
+
+/// The fold of the data centre's stream and those who wait for it.
+pub(crate) struct CellShared {
+    owner: SliceOwner,
+    fold: RwLock<CellFold>,
+    waiters: Mutex<HashMap<RecordTag, oneshot::Sender<RecordOutcome>>>,
+    sequence: AtomicU64,
+    changes: mpsc::UnboundedSender<CellChange>,
+    offset: watch::Sender<LogOffset>,
+}
+
+impl CellShared {
+    /// Creates the state of a stream that was not read yet, and the channel
+    /// that its changes go to.
+    pub(crate) fn new(
+        host: HostName,
+        incarnation: HostIncarnation,
+        slices: u16,
+    ) -> (Self, mpsc::UnboundedReceiver<CellChange>) {
+        let (changes, receiver) = mpsc::unbounded_channel();
+        let shared = Self {
+            owner: SliceOwner { host, incarnation },
+            fold: RwLock::new(CellFold::new(slices)),
+            waiters: Mutex::default(),
+            sequence: AtomicU64::new(0),
+            changes,
+            offset: watch::Sender::new(LogOffset::new(0)),
+        };
+        (shared, receiver)
+    }
+
+    /// Returns this run of this host.
+    pub(crate) const fn owner(&self) -> &SliceOwner {
+        &self.owner
+    }
+
+    /// Reads the state. The guard must not be held across an await.
+    pub(crate) fn read(&self) -> RwLockReadGuard<'_, CellFold> {
+        self.fold.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether this run of this host owns a slice.
+    pub(crate) fn owns(&self, slice: SliceIndex) -> bool {
+        let fold = self.read();
+        fold.slice(slice).is_some_and(|state| state.owner.as_ref() == Some(&self.owner))
+    }
+
+    /// Returns a receiver that wakes when records were applied.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<LogOffset> {
+        self.offset.subscribe()
+    }
+
+    /// Gives a record a tag, and a receiver for its outcome.
+    pub(crate) fn stamp(
+        &self,
+        record: CellRecord,
+    ) -> (StampedRecord, oneshot::Receiver<RecordOutcome>) {
+        let tag = RecordTag {
+            host: self.owner.host.clone(),
+            incarnation: self.owner.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::SeqCst),
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.waiters().insert(tag.clone(), sender);
+        (StampedRecord { tag, record }, receiver)
+    }
+
+    /// Drops the waiter of a record.
+    pub(crate) fn forget(&self, tag: &RecordTag) {
+        self.waiters().remove(tag);
+    }
+
+    fn waiters(
+        &self,
+    ) -> std::sync::MutexGuard<'_, HashMap<RecordTag, oneshot::Sender<RecordOutcome>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn publish(&self, outcome: RecordOutcome) {
+        if outcome.tag.host == self.owner.host
+            && let Some(waiter) = self.waiters().remove(&outcome.tag)
+        {
+            // A waiter that gave up no longer needs the outcome.
+            let _ = waiter.send(outcome.clone());
+        }
+        // The scheduler loop is gone only while the process ends.
+        let _ = self.changes.send(CellChange::Applied(outcome));
+    }
+}
+
+impl FoldTarget for CellShared {
+    fn next_offset(&self) -> LogOffset {
+        self.read().next_offset()
+    }
+
+    fn apply(&self, record: &LogRecord) {
+        let result = {
+            let mut fold = self.fold.write().unwrap_or_else(PoisonError::into_inner);
+            fold.apply(record.offset, &record.payload)
+        };
+        match result {
+            Ok(outcomes) => outcomes.into_iter().for_each(|outcome| self.publish(outcome)),
+            Err(error) => log::warn!("cell: Record {} was skipped. {error}", record.offset),
+        }
+        self.offset.send_replace(record.offset.next());
+    }
+
+    fn load_snapshot(&self, payload: &[u8]) -> bool {
+        let snapshot = match serde_json::from_slice::<CellSnapshot>(payload) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                log::warn!("cell: A snapshot cannot be read. {error}");
+                return false;
+            }
+        };
+        let restored = match CellFold::from_snapshot(snapshot) {
+            Ok(restored) => restored,
+            Err(error) => {
+                log::warn!("cell: A snapshot is not consistent. {error}");
+                return false;
+            }
+        };
+        let next = restored.next_offset();
+        {
+            let mut fold = self.fold.write().unwrap_or_else(PoisonError::into_inner);
+            if next <= fold.next_offset() {
+                return false;
+            }
+            if restored.slice_count() != fold.slice_count() {
+                log::error!(
+                    "cell: The snapshot has {} slices, the settings have {}. It is not used.",
+                    restored.slice_count(),
+                    fold.slice_count(),
+                );
+                return false;
+            }
+            *fold = restored;
+        }
+        let _ = self.changes.send(CellChange::Replaced);
+        self.offset.send_replace(next);
+        true
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/config.rs
@@ -0,0 +1,118 @@
+//! The configuration in force on this host.
+
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
+
+use pimentochute_base::{ConfigVersion, LogOffset};
+use pimentochute_platform::LogRecord;
+use pimentochute_state::{CellConfig, ConfigFold, ConfigSnapshot};
+use tokio::sync::watch;
+
+use super::follower::FoldTarget;
+
+/// The fold of the `config` stream, and a newer configuration that was
+/// fetched from a peer while the log could not be read.
+pub(crate) struct ConfigShared {
+    fold: RwLock<ConfigFold>,
+    /// A configuration of a peer; it counts only while it is newer than that
+    /// of the fold, so that the version in force never goes down.
+    fetched: RwLock<Option<Arc<CellConfig>>>,
+    offset: watch::Sender<LogOffset>,
+}
+
+impl ConfigShared {
+    /// Creates the state of a stream that was not read yet.
+    pub(crate) fn new() -> Self {
+        Self {
+            fold: RwLock::new(ConfigFold::new()),
+            fetched: RwLock::default(),
+            offset: watch::Sender::new(LogOffset::new(0)),
+        }
+    }
+
+    /// Reads the fold. The guard must not be held across an await.
+    pub(crate) fn read(&self) -> RwLockReadGuard<'_, ConfigFold> {
+        self.fold.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn current(&self) -> Arc<CellConfig> {
+        let folded = Arc::clone(self.read().current());
+        let fetched = self.fetched.read().unwrap_or_else(PoisonError::into_inner);
+        match fetched.as_ref() {
+            Some(config) if config.version > folded.version => Arc::clone(config),
+            _ => folded,
+        }
+    }
+
+    /// Returns a version that is still remembered.
+    pub(crate) fn version(&self, version: ConfigVersion) -> Option<Arc<CellConfig>> {
+        let current = self.current();
+        if current.version == version {
+            return Some(current);
+        }
+        self.read().version(version).cloned()
+    }
+
+    /// Takes the configuration of a peer if it is newer.
+    pub(crate) fn take_fetched(&self, config: CellConfig) {
+        if config.version <= self.current().version {
+            return;
+        }
+        log::info!("config: Version {} was fetched from a peer.", config.version);
+        let mut fetched = self.fetched.write().unwrap_or_else(PoisonError::into_inner);
+        *fetched = Some(Arc::new(config));
+        drop(fetched);
+        self.offset.send_modify(|_| {});
+    }
+
+    /// Returns a receiver that wakes when the configuration may have changed.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<LogOffset> {
+        self.offset.subscribe()
+    }
+}
+
+impl FoldTarget for ConfigShared {
+    fn next_offset(&self) -> LogOffset {
+        self.read().next_offset()
+    }
+
+    fn apply(&self, record: &LogRecord) {
+        let (result, version) = {
+            let mut fold = self.fold.write().unwrap_or_else(PoisonError::into_inner);
+            let result = fold.apply(record.offset, &record.payload);
+            (result, fold.current().version)
+        };
+        match result {
+            Ok(answer) => log::info!("config: Version {version} is in force. {answer:?}"),
+            Err(error) => log::warn!("config: Record {} was skipped. {error}", record.offset),
+        }
+        self.offset.send_replace(record.offset.next());
+    }
+
+    fn load_snapshot(&self, payload: &[u8]) -> bool {
+        let restored = match serde_json::from_slice::<ConfigSnapshot>(payload) {
+            Ok(snapshot) => ConfigFold::from_snapshot(snapshot),
+            Err(error) => {
+                log::warn!("config: A snapshot cannot be read. {error}");
+                return false;
+            }
+        };
+        let restored = match restored {
+            Ok(restored) => restored,
+            Err(error) => {
+                log::warn!("config: A snapshot is not consistent. {error}");
+                return false;
+            }
+        };
+        let next = restored.next_offset();
+        {
+            let mut fold = self.fold.write().unwrap_or_else(PoisonError::into_inner);
+            if next <= fold.next_offset() {
+                return false;
+            }
+            *fold = restored;
+        }
+        self.offset.send_replace(next);
+        true
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/follower.rs
@@ -0,0 +1,139 @@
+//! Follows a stream of the log and applies its records.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimentochute_base::{LogOffset, MilliClock, MilliSpan, StreamName};
+use pimentochute_platform::{LogRecord, LogService, ReadError};
+
+use super::health::LogHealth;
+
+/// The most records of one read.
+const MAX_RECORDS: usize = 512;
+
+/// The longest wait of a read for a record to come.
+const READ_WAIT: MilliSpan = MilliSpan::new(1000);
+
+/// The pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The number of the newest snapshots that are looked at.
+const SNAPSHOTS_READ: u64 = 4;
+
+/// A state that follows a stream.
+pub(crate) trait FoldTarget: Send + Sync {
+    /// Returns the offset of the first record that was not applied.
+    fn next_offset(&self) -> LogOffset;
+
+    /// Applies one record.
+    fn apply(&self, record: &LogRecord);
+
+    /// Replaces the state by a snapshot if that is further ahead; tells
+    /// whether it did.
+    fn load_snapshot(&self, payload: &[u8]) -> bool;
+}
+
+/// Follows one stream.
+pub(crate) struct LogFollower {
+    log: Arc<dyn LogService>,
+    clock: MilliClock,
+    stream: StreamName,
+    snapshots: StreamName,
+    target: Arc<dyn FoldTarget>,
+    health: Arc<LogHealth>,
+}
+
+impl LogFollower {
+    /// Creates a follower of `stream` whose snapshots are in `snapshots`.
+    pub(crate) fn new(
+        log: Arc<dyn LogService>,
+        clock: MilliClock,
+        stream: StreamName,
+        snapshots: StreamName,
+        target: Arc<dyn FoldTarget>,
+        health: Arc<LogHealth>,
+    ) -> Self {
+        Self { log, clock, stream, snapshots, target, health }
+    }
+
+    /// Follows the stream; returns only if its future is dropped.
+    pub(crate) async fn run(&self) {
+        self.load_newest_snapshot().await;
+        loop {
+            if let Err(error) = self.step().await {
+                self.health.note_failure();
+                log::debug!("follower: Stream {} cannot be read. {error}", self.stream);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Reads once and applies what came.
+    async fn step(&self) -> Result<(), ReadError> {
+        let begun = self.clock.now();
+        let from = self.target.next_offset();
+        let wait = if self.health.is_caught_up() { READ_WAIT } else { MilliSpan::ZERO };
+        let batch = match self.log.read(&self.stream, from, MAX_RECORDS, wait).await {
+            Ok(batch) => batch,
+            Err(ReadError::BehindRetention { first_retained }) => {
+                return self.skip_to(from, first_retained).await;
+            }
+            Err(error) => return Err(error),
+        };
+        for record in &batch.records {
+            self.target.apply(record);
+        }
+        if self.target.next_offset() >= batch.tail {
+            self.health.note_read(begun);
+        }
+        Ok(())
+    }
+
+    /// Goes on at a snapshot, since the records after `from` are gone.
+    async fn skip_to(&self, from: LogOffset, first: LogOffset) -> Result<(), ReadError> {
+        log::warn!(
+            "follower: Stream {} keeps records only from {first} on, {from} was wanted. \
+             A snapshot is loaded.",
+            self.stream,
+        );
+        self.load_newest_snapshot().await;
+        if self.target.next_offset() >= first {
+            return Ok(());
+        }
+        Err(ReadError::BehindRetention { first_retained: first })
+    }
+
+    /// Loads the newest snapshot that is further ahead than the state.
+    async fn load_newest_snapshot(&self) {
+        let Some(from) = self.newest_snapshots().await else { return };
+        let read = self.log.read(&self.snapshots, from, MAX_RECORDS, MilliSpan::ZERO).await;
+        let Ok(batch) = read else { return };
+        for record in batch.records.iter().rev() {
+            if self.target.load_snapshot(&record.payload) {
+                log::info!(
+                    "follower: Stream {} goes on from the snapshot at {}.",
+                    self.stream,
+                    self.target.next_offset(),
+                );
+                return;
+            }
+        }
+    }
+
+    /// Returns the offset from which the newest snapshots are read.
+    async fn newest_snapshots(&self) -> Option<LogOffset> {
+        let probe = self.log.read(&self.snapshots, LogOffset::new(0), 1, MilliSpan::ZERO).await;
+        let first = match probe {
+            Ok(batch) if batch.tail.get() <= SNAPSHOTS_READ => return Some(batch.first_retained),
+            Ok(batch) => {
+                let recent = batch.tail.get().saturating_sub(SNAPSHOTS_READ);
+                return Some(batch.first_retained.max(LogOffset::new(recent)));
+            }
+            Err(ReadError::BehindRetention { first_retained }) => first_retained,
+            Err(ReadError::Unavailable { .. }) => return None,
+        };
+        let batch = self.log.read(&self.snapshots, first, 1, MilliSpan::ZERO).await.ok()?;
+        let recent = batch.tail.get().saturating_sub(SNAPSHOTS_READ);
+        Some(first.max(LogOffset::new(recent)))
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/freshness.rs
@@ -0,0 +1,90 @@
+//! Decides whether the configuration is known to be current.
+
+use pimentochute_base::{ConfigVersion, DataCentreName, HostName, MilliSpan, MilliTime};
+
+use crate::peer::{ConfigEvidence, PeerStatus};
+
+/// What a host knows about the configuration being current.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigFreshness {
+    /// No newer configuration can be in force elsewhere.
+    Current,
+    /// A peer has a newer configuration, which has to be fetched.
+    Behind(HostName),
+    /// There is no evidence either way.
+    Unknown,
+}
+
+/// The facts that freshness is decided from.
+#[derive(Debug)]
+pub struct FreshnessFacts<'a> {
+    /// The time of the decision.
+    pub now: MilliTime,
+    /// The oldest evidence that counts.
+    pub fresh: MilliSpan,
+    /// The version in force on this host.
+    pub version: ConfigVersion,
+    /// The evidence of this host.
+    pub own: ConfigEvidence,
+    /// The data centre of this host.
+    pub data_centre: &'a DataCentreName,
+    /// All data centres.
+    pub data_centres: &'a [DataCentreName],
+    /// The last heartbeats of other hosts.
+    pub peers: &'a [PeerStatus],
+}
+
+impl FreshnessFacts<'_> {
+    /// Decides.
+    ///
+    /// A change is accepted only through the log. If a host of every data
+    /// centre answers that it cannot reach the log, then none was accepted
+    /// since; hosts that do not answer are taken to share the fate of their
+    /// data centre.
+    #[must_use]
+    pub fn decide(&self) -> ConfigFreshness {
+        if self.recent().any(|peer| self.is_ahead(peer)) {
+            return self.newest_peer();
+        }
+        if self.has_read_log() || self.recent().any(|peer| self.peer_has_read_log(peer)) {
+            return ConfigFreshness::Current;
+        }
+        if self.data_centres.iter().all(|centre| self.is_without_log(centre)) {
+            return ConfigFreshness::Current;
+        }
+        ConfigFreshness::Unknown
+    }
+
+    fn has_read_log(&self) -> bool {
+        matches!(self.own, ConfigEvidence::LogRead { age } if age <= self.fresh)
+    }
+
+    /// Returns the peers whose heartbeat is recent.
+    fn recent(&self) -> impl Iterator<Item = &PeerStatus> {
+        self.peers.iter().filter(|peer| self.now.since(peer.received) <= self.fresh)
+    }
+
+    fn is_ahead(&self, peer: &PeerStatus) -> bool {
+        peer.beat.config_version > self.version
+    }
+
+    fn peer_has_read_log(&self, peer: &PeerStatus) -> bool {
+        let elapsed = self.now.since(peer.received);
+        matches!(peer.beat.evidence, ConfigEvidence::LogRead { age } if age + elapsed <= self.fresh)
+    }
+
+    fn newest_peer(&self) -> ConfigFreshness {
+        self.recent()
+            .max_by_key(|peer| peer.beat.config_version)
+            .map_or(ConfigFreshness::Unknown, |peer| ConfigFreshness::Behind(peer.beat.host.clone()))
+    }
+
+    fn is_without_log(&self, centre: &DataCentreName) -> bool {
+        let own = centre == self.data_centre
+            && matches!(self.own, ConfigEvidence::LogUnreachable { .. });
+        own || self.recent().any(|peer| {
+            peer.beat.data_centre == *centre
+                && matches!(peer.beat.evidence, ConfigEvidence::LogUnreachable { .. })
+        })
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/monitor.rs
@@ -0,0 +1,106 @@
+//! Watches whether the configuration is known to be current.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use pimentochute_base::{DataCentreName, HostName, MilliClock, MilliSpan, MilliTime};
+
+use super::config::ConfigShared;
+use super::freshness::{ConfigFreshness, FreshnessFacts};
+use super::health::LogHealth;
+use crate::peer::{PeerLink, PeerStatus};
+use crate::settings::ConfigurationSettings;
+use crate::PeerTable;
+
+/// The time between two looks at the evidence.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Keeps the time at which the configuration was last known to be current.
+pub(crate) struct FreshnessMonitor {
+    config: Arc<ConfigShared>,
+    health: Arc<LogHealth>,
+    table: Arc<PeerTable>,
+    link: Arc<dyn PeerLink>,
+    clock: MilliClock,
+    settings: ConfigurationSettings,
+    /// When the configuration was last known to be current, in milliseconds
+    /// plus one; zero before that.
+    current_at: AtomicU64,
+}
+
+impl FreshnessMonitor {
+    /// Creates a monitor without evidence.
+    pub(crate) fn new(
+        config: Arc<ConfigShared>,
+        health: Arc<LogHealth>,
+        table: Arc<PeerTable>,
+        link: Arc<dyn PeerLink>,
+        clock: MilliClock,
+        settings: ConfigurationSettings,
+    ) -> Self {
+        let current_at = AtomicU64::new(0);
+        Self { config, health, table, link, clock, settings, current_at }
+    }
+
+    /// Watches until its future is dropped.
+    pub(crate) async fn run(&self) {
+        let mut taking = false;
+        loop {
+            match self.decide() {
+                ConfigFreshness::Current => self.note_current(),
+                ConfigFreshness::Behind(host) => self.fetch(&host).await,
+                ConfigFreshness::Unknown => {}
+            }
+            if self.takes_keyed_work() != taking {
+                taking = !taking;
+                log::warn!("config: Keyed work is {}.", if taking { "taken" } else { "refused" });
+            }
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Tells whether the configuration was known to be current lately enough.
+    pub(crate) fn takes_keyed_work(&self) -> bool {
+        let Some(at) = self.current_at.load(Ordering::SeqCst).checked_sub(1) else {
+            return false;
+        };
+        self.clock.now().since(MilliTime::new(at)) <= self.settings.key_grace_ms
+    }
+
+    fn decide(&self) -> ConfigFreshness {
+        let centres = self.table.centres();
+        let peers = self.peers(&centres);
+        FreshnessFacts {
+            now: self.clock.now(),
+            fresh: self.settings.fresh_ms,
+            version: self.config.current().version,
+            own: self.health.evidence(),
+            data_centre: self.table.own_centre(),
+            data_centres: &centres,
+            peers: &peers,
+        }
+        .decide()
+    }
+
+    fn peers(&self, centres: &[DataCentreName]) -> Vec<PeerStatus> {
+        let hosts = centres.iter().flat_map(|centre| self.table.hosts_of(centre));
+        hosts.filter_map(|host| self.table.status(&host)).collect()
+    }
+
+    fn note_current(&self) {
+        let now = self.clock.now().as_millis();
+        self.current_at.store(now.saturating_add(1), Ordering::SeqCst);
+    }
+
+    async fn fetch(&self, host: &HostName) {
+        // A host that reads the log meets the version there shortly.
+        if self.health.age() <= MilliSpan::new(TICK.as_millis().try_into().unwrap_or(0)) {
+            return;
+        }
+        match self.link.config(host).await {
+            Ok(config) => self.config.take_fetched(config),
+            Err(error) => log::debug!("config: No newer version was fetched. {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/placement.rs
@@ -0,0 +1,249 @@
+//! Keeps the placer in step with the state of the data centre.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::{AttemptRef, JobId, MilliSpan, MilliTime, SliceIndex, TeamName, WorkerName};
+use pimentochute_schedule::{
+    CommittedTask, JobPlacer, JobRefusal, PlacementDecision, PlacerSettings, TeamSpec, WaitingJob,
+    WaitingTask, WorkerReadiness, WorkerSpec,
+};
+use pimentochute_state::{
+    CellConfig, CellEffect, CellFold, EndReason, JobState, RecordOutcome, TaskPhase, WorkerHealth,
+    WorkerState,
+};
+
+use super::cell::CellShared;
+
+/// A placer that follows the fold.
+///
+/// After each change the object concerned is read from the fold again, so
+/// that a change that is seen late or twice does no harm.
+pub(crate) struct PlacementMirror {
+    placer: JobPlacer,
+    probe_interval: MilliSpan,
+    /// When quarantined workers may get their next probe task.
+    probes: BTreeMap<WorkerName, MilliTime>,
+}
+
+impl PlacementMirror {
+    /// Creates a mirror that knows nothing.
+    pub(crate) fn new(probe_interval: MilliSpan) -> Self {
+        Self {
+            placer: JobPlacer::new(PlacerSettings::default()),
+            probe_interval,
+            probes: BTreeMap::new(),
+        }
+    }
+
+    /// Reads everything from the fold.
+    pub(crate) fn rebuild(&mut self, cell: &CellShared, config: &CellConfig) {
+        self.placer = JobPlacer::new(PlacerSettings::default());
+        let fold = cell.read();
+        for worker in fold.workers() {
+            self.set_worker(worker);
+            for attempt in fold.placements(&worker.name) {
+                self.commit(&fold, attempt);
+            }
+        }
+        self.set_teams_of(&fold, config);
+        for slice in (0..fold.slice_count()).map(SliceIndex::new) {
+            self.set_slice(cell, &fold, slice);
+        }
+    }
+
+    /// Takes in the shares and allotments.
+    pub(crate) fn set_teams(&mut self, cell: &CellShared, config: &CellConfig) {
+        self.set_teams_of(&cell.read(), config);
+    }
+
+    /// Takes in the outcome of a record.
+    pub(crate) fn apply(
+        &mut self,
+        cell: &CellShared,
+        config: &CellConfig,
+        outcome: &RecordOutcome,
+        now: MilliTime,
+    ) {
+        let Ok(effect) = &outcome.effect else { return };
+        let fold = cell.read();
+        match effect {
+            CellEffect::JobSubmitted { job }
+            | CellEffect::JobCancelled { job }
+            | CellEffect::JobRefused { job } => self.set_job(cell, &fold, *job),
+            CellEffect::TasksPlaced { job, tasks } => {
+                for placed in tasks {
+                    let (task, attempt) = (placed.task, placed.attempt);
+                    self.commit(&fold, AttemptRef { job: *job, task, attempt });
+                }
+                self.set_job(cell, &fold, *job);
+            }
+            CellEffect::TaskStarted { .. } => {}
+            CellEffect::TaskEnded { attempt, worker, reason, .. } => {
+                if *reason != EndReason::Succeeded {
+                    self.probes.insert(worker.clone(), now + self.probe_interval);
+                }
+                self.release(cell, &fold, *attempt);
+            }
+            CellEffect::WorkerSeen { worker, lapsed, .. }
+            | CellEffect::WorkerLost { worker, lapsed } => {
+                self.set_worker_by_name(&fold, worker);
+                for (attempt, _) in lapsed {
+                    self.release(cell, &fold, *attempt);
+                }
+            }
+            CellEffect::WorkerHealthSet { worker, .. } => self.set_worker_by_name(&fold, worker),
+            CellEffect::SliceClaimed { slice, .. } | CellEffect::SliceReleased { slice, .. } => {
+                self.set_slice(cell, &fold, *slice);
+            }
+            CellEffect::AllotmentSet { team, .. } => self.set_team(&fold, config, team),
+        }
+        for job in outcome.ended.iter().chain(&outcome.dropped) {
+            self.placer.remove_job(*job);
+        }
+    }
+
+    /// Opens quarantined workers for a probe task when its time has come.
+    pub(crate) fn refresh_probes(&mut self, cell: &CellShared, now: MilliTime) {
+        let due: Vec<WorkerName> = self
+            .probes
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(worker, _)| worker.clone())
+            .collect();
+        for worker in due {
+            self.probes.remove(&worker);
+            self.set_worker_by_name(&cell.read(), &worker);
+        }
+    }
+
+    /// Decides where at most `max_tasks` tasks go.
+    pub(crate) fn decide(&mut self, now: MilliTime, max_tasks: usize) -> Vec<PlacementDecision> {
+        self.placer.decide(now, max_tasks)
+    }
+
+    /// Returns the jobs that can never run.
+    pub(crate) fn refusals(&self) -> Vec<JobRefusal> {
+        self.placer.refusals()
+    }
+
+    /// Keeps a decision whose record is valid.
+    pub(crate) fn confirm(&mut self, decision: &PlacementDecision) {
+        self.placer.confirm(decision);
+    }
+
+    /// Takes a decision back.
+    pub(crate) fn revoke(&mut self, cell: &CellShared, decision: &PlacementDecision) {
+        self.placer.revoke(decision);
+        self.set_job(cell, &cell.read(), decision.job);
+    }
+
+    fn set_slice(&mut self, cell: &CellShared, fold: &CellFold, slice: SliceIndex) {
+        for job in fold.active_jobs(slice) {
+            self.set_job(cell, fold, job.spec.id);
+        }
+    }
+
+    fn set_job(&mut self, cell: &CellShared, fold: &CellFold, job: JobId) {
+        let state = fold.job(job).filter(|state| owns_team(cell, fold, &state.spec.team));
+        match state.and_then(waiting_job) {
+            Some(job) => self.placer.update_job(job),
+            None => self.placer.remove_job(job),
+        }
+    }
+
+    fn release(&mut self, cell: &CellShared, fold: &CellFold, attempt: AttemptRef) {
+        self.placer.release(attempt);
+        self.set_job(cell, fold, attempt.job);
+    }
+
+    /// Counts an attempt, unless it has ended since.
+    fn commit(&mut self, fold: &CellFold, attempt: AttemptRef) {
+        let Some(job) = fold.job(attempt.job) else { return };
+        let Some(task) = fold.live_task(attempt) else { return };
+        let Some((_, worker, _)) = task.phase.place() else { return };
+        self.placer.commit(CommittedTask {
+            attempt,
+            team: job.spec.team.clone(),
+            kind: job.spec.kind,
+            worker: worker.clone(),
+            demand: job.spec.demand,
+            expected_end: job.spec.expected_run.map(|run| fold.latest_time() + run),
+        });
+    }
+
+    fn set_worker_by_name(&mut self, fold: &CellFold, name: &WorkerName) {
+        match fold.worker(name) {
+            Some(worker) => self.set_worker(worker),
+            None => self.placer.remove_worker(name),
+        }
+    }
+
+    fn set_worker(&mut self, worker: &WorkerState) {
+        let readiness = match worker.health {
+            _ if worker.lost => WorkerReadiness::Unusable,
+            WorkerHealth::Healthy => WorkerReadiness::Usable,
+            WorkerHealth::Quarantined if !self.probes.contains_key(&worker.name) => {
+                WorkerReadiness::Probe
+            }
+            WorkerHealth::Quarantined | WorkerHealth::Leaving => WorkerReadiness::Unusable,
+        };
+        self.placer.set_worker(WorkerSpec {
+            name: worker.name.clone(),
+            incarnation: worker.incarnation,
+            rack: worker.rack.clone(),
+            capacity: worker.capacity,
+            readiness,
+        });
+    }
+
+    fn set_teams_of(&mut self, fold: &CellFold, config: &CellConfig) {
+        for team in config.teams.keys() {
+            self.set_team(fold, config, team);
+        }
+    }
+
+    fn set_team(&mut self, fold: &CellFold, config: &CellConfig, team: &TeamName) {
+        let share = config.teams.get(team).map_or(1, |limits| limits.share);
+        let allotment = fold.team(team).map_or(0, |state| state.allotment);
+        self.placer.set_team(TeamSpec { name: team.clone(), share, allotment });
+    }
+}
+
+fn owns_team(cell: &CellShared, fold: &CellFold, team: &TeamName) -> bool {
+    let slice = fold.slice(fold.slice_of(team));
+    slice.is_some_and(|slice| slice.owner.as_ref() == Some(cell.owner()))
+}
+
+/// Returns the waiting tasks of a job; none if it has none.
+fn waiting_job(state: &JobState) -> Option<WaitingJob> {
+    if state.has_ended() || state.is_stopping() {
+        return None;
+    }
+    let tasks: Vec<WaitingTask> = state
+        .indexed_tasks()
+        .filter_map(|(task, state)| match &state.phase {
+            TaskPhase::Waiting { next, not_before } => Some(WaitingTask {
+                task,
+                attempt: *next,
+                not_before: *not_before,
+                avoid: state.failed_on.iter().cloned().collect(),
+            }),
+            _ => None,
+        })
+        .collect();
+    if tasks.is_empty() {
+        return None;
+    }
+    Some(WaitingJob {
+        job: state.spec.id,
+        team: state.spec.team.clone(),
+        kind: state.spec.kind,
+        priority: state.spec.priority,
+        demand: state.spec.demand,
+        task_count: state.spec.tasks,
+        submitted: state.submitted_at,
+        expected_run: state.spec.expected_run,
+        finish_by: state.spec.finish_by,
+        tasks,
+    })
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/reconcile.rs
@@ -0,0 +1,272 @@
+//! Brings the tasks of one worker in line with the state.
+
+use std::collections::BTreeMap;
+
+use futures::future::join_all;
+use pimentochute_base::{AttemptRef, ResourceAmount};
+use pimentochute_platform::{
+    StartOrder, TaskStatus, WorkerError, WorkerReport, WorkerTarget,
+};
+use pimentochute_state::{CellFold, CellRecord, EndReason, TaskPhase};
+
+use super::session::HeldControl;
+use super::workers::WorkerContext;
+
+/// The reason why a worker was not brought in line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReconcileError {
+    /// Control has to be taken anew: the epoch is no longer in force, or a
+    /// command without an answer may still arrive under it.
+    Fenced,
+    /// The worker does not answer renewals.
+    Silent,
+}
+
+/// One round with one worker.
+pub(crate) struct Reconciler<'a> {
+    context: &'a WorkerContext,
+    target: &'a WorkerTarget,
+    control: HeldControl,
+}
+
+/// A live attempt on the worker, as the state has it.
+#[derive(Debug, Clone)]
+struct PlacedTask {
+    demand: ResourceAmount,
+    command: String,
+    /// Whether the task is to be kept running.
+    desired: bool,
+    /// Whether the start is recorded.
+    started: bool,
+}
+
+/// What a round has to do, worked out from the state and a report.
+#[derive(Debug, Default)]
+struct RoundPlan {
+    starts: Vec<AttemptRef>,
+    stops: Vec<AttemptRef>,
+    forgets: Vec<AttemptRef>,
+    started: Vec<AttemptRef>,
+    ended: Vec<(AttemptRef, EndReason)>,
+}
+
+impl<'a> Reconciler<'a> {
+    /// Creates a round.
+    pub(crate) fn new(
+        context: &'a WorkerContext,
+        target: &'a WorkerTarget,
+        control: HeldControl,
+    ) -> Self {
+        Self { context, target, control }
+    }
+
+    /// Returns the control, with the time of the last lease extension.
+    pub(crate) const fn control(&self) -> HeldControl {
+        self.control
+    }
+
+    /// Renews, starts, stops, reports and forgets.
+    ///
+    /// # Errors
+    /// Fails if control has to be taken anew or the worker does not answer.
+    pub(crate) async fn reconcile(&mut self) -> Result<WorkerReport, ReconcileError> {
+        let report = self.renew().await?;
+        if report.incarnation != self.control.incarnation || !self.is_recorded() {
+            return Ok(report);
+        }
+        let placed = self.placed();
+        let mut plan = plan_round(&placed, &report);
+        let started = self.start_all(&mut plan, &placed).await;
+        self.stop_all(&plan).await?;
+        self.forget(&plan).await?;
+        self.record_all(&plan).await;
+        started.map(|()| report)
+    }
+
+    async fn renew(&mut self) -> Result<WorkerReport, ReconcileError> {
+        let placed = self.placed();
+        let keep = placed.keys().copied().collect();
+        let settings = &self.context.settings;
+        self.control.extended = self.context.clock.now();
+        let renewed = self
+            .context
+            .control
+            .renew(
+                self.target,
+                self.control.epoch,
+                keep,
+                settings.control_lease_ms,
+                settings.task_lease_ms,
+            )
+            .await;
+        renewed.map_err(|error| {
+            log::debug!("workers: Worker {} is not renewed. {error}", self.target.name);
+            match error {
+                WorkerError::Unreachable { .. } => ReconcileError::Silent,
+                // A renewal without an answer may arrive late and extend
+                // leases then. Taking control anew fences it, so that at most
+                // one such renewal has to be waited out.
+                _ => ReconcileError::Fenced,
+            }
+        })
+    }
+
+    /// Tells whether the state has this epoch as the worker's current one.
+    fn is_recorded(&self) -> bool {
+        let fold = self.context.cell.read();
+        fold.worker(&self.target.name).is_some_and(|worker| {
+            !worker.lost
+                && worker.incarnation == self.control.incarnation
+                && worker.epoch == self.control.epoch
+        })
+    }
+
+    /// Returns the live attempts on this incarnation of the worker.
+    fn placed(&self) -> BTreeMap<AttemptRef, PlacedTask> {
+        let fold = self.context.cell.read();
+        fold.placements(&self.target.name)
+            .filter_map(|attempt| Some((attempt, self.placed_task(&fold, attempt)?)))
+            .collect()
+    }
+
+    fn placed_task(&self, fold: &CellFold, attempt: AttemptRef) -> Option<PlacedTask> {
+        let job = fold.job(attempt.job)?;
+        let task = fold.live_task(attempt)?;
+        let (_, _, incarnation) = task.phase.place()?;
+        (incarnation == self.control.incarnation).then(|| PlacedTask {
+            demand: job.spec.demand,
+            command: job.spec.command.clone(),
+            desired: fold.is_desired(attempt),
+            started: matches!(task.phase, TaskPhase::Running { .. }),
+        })
+    }
+
+    /// Starts what is missing, one after the other: after a command without
+    /// an answer no other command is sent under the same epoch.
+    async fn start_all(
+        &mut self,
+        plan: &mut RoundPlan,
+        placed: &BTreeMap<AttemptRef, PlacedTask>,
+    ) -> Result<(), ReconcileError> {
+        for attempt in std::mem::take(&mut plan.starts) {
+            let Some(task) = placed.get(&attempt) else { continue };
+            match self.start(attempt, task).await {
+                Ok(()) => {
+                    log::info!("workers: Task {attempt} starts on {}.", self.target.name);
+                    plan.started.push(attempt);
+                }
+                Err(WorkerError::NoRoom) => {
+                    log::warn!("workers: {} has no room for {attempt}.", self.target.name);
+                    plan.ended.push((attempt, EndReason::RefusedByWorker));
+                }
+                Err(error) => {
+                    log::info!("workers: Task {attempt} is not known to run. {error}");
+                    return Err(ReconcileError::Fenced);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn start(&mut self, attempt: AttemptRef, task: &PlacedTask) -> Result<(), WorkerError> {
+        let order = StartOrder {
+            attempt,
+            incarnation: self.control.incarnation,
+            demand: task.demand,
+            command: task.command.clone(),
+            lease: self.context.settings.task_lease_ms,
+        };
+        self.control.extended = self.context.clock.now();
+        self.context.control.start(self.target, self.control.epoch, order).await
+    }
+
+    async fn stop_all(&self, plan: &RoundPlan) -> Result<(), ReconcileError> {
+        let grace = self.context.settings.stop_grace_ms;
+        for attempt in &plan.stops {
+            log::info!("workers: Task {attempt} on {} is to stop.", self.target.name);
+            let control = &self.context.control;
+            let stopped = control.stop(self.target, self.control.epoch, *attempt, grace).await;
+            stopped.map_err(|_| ReconcileError::Fenced)?;
+        }
+        Ok(())
+    }
+
+    async fn forget(&self, plan: &RoundPlan) -> Result<(), ReconcileError> {
+        if plan.forgets.is_empty() {
+            return Ok(());
+        }
+        let control = &self.context.control;
+        let forgets = plan.forgets.clone();
+        let forgotten = control.forget(self.target, self.control.epoch, forgets).await;
+        forgotten.map_err(|_| ReconcileError::Fenced)
+    }
+
+    /// Records what the worker reported. A record that is not taken is made
+    /// again in the next round, since the worker keeps its report.
+    async fn record_all(&self, plan: &RoundPlan) {
+        let at = self.context.clock.unix_now();
+        let epoch = self.control.epoch;
+        let started =
+            plan.started.iter().map(|attempt| CellRecord::TaskStarted { attempt: *attempt, at });
+        let ended = plan.ended.iter().map(|(attempt, reason)| {
+            log::info!("workers: Task {attempt} on {} ended: {reason}.", self.target.name);
+            CellRecord::TaskEnded { attempt: *attempt, epoch, reason: *reason, at }
+        });
+        let writes = started.chain(ended).map(|record| self.context.client.record(record));
+        for result in join_all(writes).await {
+            if let Err(error) = result {
+                log::debug!("workers: A report of {} waits. {error}", self.target.name);
+            }
+        }
+    }
+}
+
+/// Works out what a round has to do.
+fn plan_round(placed: &BTreeMap<AttemptRef, PlacedTask>, report: &WorkerReport) -> RoundPlan {
+    let mut plan = RoundPlan::default();
+    let mut reported = BTreeMap::new();
+    for task in &report.tasks {
+        reported.insert(task.attempt, task.status);
+        plan_reported(&mut plan, task.attempt, task.status, placed.get(&task.attempt));
+    }
+    for (attempt, task) in placed {
+        if reported.contains_key(attempt) {
+            continue;
+        }
+        if task.desired {
+            plan.starts.push(*attempt);
+        } else {
+            // It never ran here and no command for it is under way.
+            plan.ended.push((*attempt, EndReason::Stopped));
+        }
+    }
+    plan
+}
+
+fn plan_reported(
+    plan: &mut RoundPlan,
+    attempt: AttemptRef,
+    status: TaskStatus,
+    placed: Option<&PlacedTask>,
+) {
+    let reason = end_reason(status);
+    match (placed, reason) {
+        (Some(_), Some(reason)) => plan.ended.push((attempt, reason)),
+        (None, Some(_)) => plan.forgets.push(attempt),
+        (None, None) => plan.stops.push(attempt),
+        (Some(task), None) if !task.desired => plan.stops.push(attempt),
+        (Some(task), None) if !task.started => plan.started.push(attempt),
+        (Some(_), None) => {}
+    }
+}
+
+/// Returns how a task ended; none if it runs.
+const fn end_reason(status: TaskStatus) -> Option<EndReason> {
+    match status {
+        TaskStatus::Running => None,
+        TaskStatus::Succeeded => Some(EndReason::Succeeded),
+        TaskStatus::Failed => Some(EndReason::Failed),
+        TaskStatus::Stopped => Some(EndReason::Stopped),
+        TaskStatus::Lapsed => Some(EndReason::Lapsed),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/scheduler.rs
@@ -0,0 +1,288 @@
+//! Places the waiting tasks of the slices of this host.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use pimentochute_base::{
+    DataCentreName, ConfigVersion, EpochNumber, JobId, LogOffset, MilliClock, MilliSpan, SliceIndex, TeamName,
+};
+use pimentochute_schedule::{JobRefusal, PlacementDecision, RefusalReason};
+use pimentochute_state::{
+    CellRecord, RecordOutcome, RefuseReason, TaskPlacement, allotment,
+};
+use tokio::sync::{Mutex, mpsc, watch};
+use tokio::time::Instant;
+
+use super::SubmitError;
+use super::cell::{CellChange, CellShared};
+use super::client::RecordClient;
+use super::config::ConfigShared;
+use super::placement::PlacementMirror;
+
+/// The longest time between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// The pause after a record was not taken by the log.
+const LOG_PAUSE: Duration = Duration::from_millis(500);
+
+/// The most tasks of one round.
+const MAX_ROUND_TASKS: usize = 256;
+
+/// The most decisions whose records were not read back yet.
+const MAX_PENDING: usize = 512;
+
+/// Decides where tasks run.
+pub(crate) struct SchedulerLoop {
+    cell: Arc<CellShared>,
+    config: Arc<ConfigShared>,
+    client: RecordClient,
+    clock: MilliClock,
+    data_centre: DataCentreName,
+    data_centres: Vec<DataCentreName>,
+    probe_interval: MilliSpan,
+    changes: Mutex<mpsc::UnboundedReceiver<CellChange>>,
+}
+
+/// The data centre and the times of a scheduler loop.
+pub(crate) struct SchedulerPlace {
+    /// The data centre of this host.
+    pub data_centre: DataCentreName,
+    /// All data centres.
+    pub data_centres: Vec<DataCentreName>,
+    /// The time between two probe tasks on a quarantined worker.
+    pub probe_interval: MilliSpan,
+}
+
+/// A decision, and what became of its record.
+type Decided = (PlacementDecision, Result<RecordOutcome, SubmitError>);
+
+impl SchedulerLoop {
+    /// Creates the loop; `changes` are those of `cell`.
+    pub(crate) fn new(
+        cell: Arc<CellShared>,
+        config: Arc<ConfigShared>,
+        client: RecordClient,
+        clock: MilliClock,
+        place: SchedulerPlace,
+        changes: mpsc::UnboundedReceiver<CellChange>,
+        ) -> Self {
+        Self {
+            cell,
+            config,
+            client,
+            clock,
+            data_centre: place.data_centre,
+            data_centres: place.data_centres,
+            probe_interval: place.probe_interval,
+            changes: Mutex::new(changes),
+        }
+    }
+
+    /// Decides until its future is dropped.
+    pub(crate) async fn run(&self) {
+        let mut changes = self.changes.lock().await;
+        let mut versions = self.config.subscribe();
+        let mut mirror = PlacementMirror::new(self.probe_interval);
+        mirror.rebuild(&self.cell, &self.config.current());
+        let mut pending = FuturesUnordered::new();
+        let mut resume_at = Instant::now();
+        loop {
+            if !self.wait(&mut changes, &mut versions, &mut mirror, &mut pending).await {
+                resume_at = Instant::now() + LOG_PAUSE;
+            }
+            mirror.refresh_probes(&self.cell, self.clock.unix_now());
+            if Instant::now() < resume_at || pending.len() >= MAX_PENDING {
+                continue;
+            }
+            if !self.write_allotments().await {
+                resume_at = Instant::now() + LOG_PAUSE;
+                continue;
+            }
+            for decision in mirror.decide(self.clock.unix_now(), MAX_ROUND_TASKS) {
+                match self.placement_record(&decision) {
+                    Some(record) => pending.push(self.record(decision, record)),
+                    None => mirror.revoke(&self.cell, &decision),
+                }
+            }
+            if !self.write_refusals(&mirror.refusals()).await {
+                resume_at = Instant::now() + LOG_PAUSE;
+            }
+        }
+    }
+
+    /// Waits for something to do and takes in what happened. Tells whether the
+    /// log took every record.
+    async fn wait(
+        &self,
+        changes: &mut mpsc::UnboundedReceiver<CellChange>,
+        versions: &mut watch::Receiver<LogOffset>,
+        mirror: &mut PlacementMirror,
+        pending: &mut FuturesUnordered<impl Future<Output = Decided>>,
+    ) -> bool {
+        let mut recorded = true;
+        tokio::select! {
+            change = changes.recv() => {
+                if let Some(change) = change {
+                    self.take_change(mirror, change);
+                }
+            }
+            Some(decided) = pending.next(), if !pending.is_empty() => {
+                recorded &= self.settle(mirror, decided);
+            }
+            _ = versions.changed() => mirror.set_teams(&self.cell, &self.config.current()),
+            () = tokio::time::sleep(ROUND_PAUSE) => {}
+        }
+        while let Ok(change) = changes.try_recv() {
+            self.take_change(mirror, change);
+        }
+        while let Some(Some(decided)) = futures::FutureExt::now_or_never(pending.next()) {
+            recorded &= self.settle(mirror, decided);
+        }
+        recorded
+    }
+
+    fn take_change(&self, mirror: &mut PlacementMirror, change: CellChange) {
+        match change {
+            CellChange::Applied(outcome) => {
+                mirror.apply(&self.cell, &self.config.current(), &outcome, self.clock.unix_now());
+            }
+            CellChange::Replaced => mirror.rebuild(&self.cell, &self.config.current()),
+        }
+    }
+
+    fn placement_record(&self, decision: &PlacementDecision) -> Option<CellRecord> {
+        let (slice, epoch) = self.ownership(&decision.team)?;
+        let tasks = decision.tasks.iter().map(|choice| TaskPlacement {
+            task: choice.task,
+            attempt: choice.attempt,
+            worker: choice.worker.clone(),
+            incarnation: choice.incarnation,
+        });
+        Some(CellRecord::TasksPlaced {
+            job: decision.job,
+            slice,
+            epoch,
+            tasks: tasks.collect(),
+            at: self.clock.unix_now(),
+        })
+    }
+
+    async fn record(&self, decision: PlacementDecision, record: CellRecord) -> Decided {
+        let result = self.client.record(record).await;
+        (decision, result)
+    }
+
+    /// Takes in what became of a decision's record. Tells whether the log took
+    /// it.
+    fn settle(&self, mirror: &mut PlacementMirror, (decision, result): Decided) -> bool {
+        let recorded = result.is_ok();
+        match result {
+            Ok(RecordOutcome { effect: Ok(_), .. }) => {
+                log_placement(&decision);
+                mirror.confirm(&decision);
+            }
+            Ok(RecordOutcome { effect: Err(reason), .. }) => {
+                log::info!("scheduler: Job {} keeps waiting. {reason}", decision.job);
+                mirror.revoke(&self.cell, &decision);
+            }
+            Err(error) => {
+                log::debug!("scheduler: Job {} keeps waiting. {error}", decision.job);
+                // A record that shows up later is taken in as any other; a
+                // second placement of the same attempt is invalid.
+                mirror.revoke(&self.cell, &decision);
+            }
+        }
+        recorded
+    }
+
+    /// Returns the slice of a team and the epoch, if this host owns it.
+    fn ownership(&self, team: &TeamName) -> Option<(SliceIndex, EpochNumber)> {
+        let fold = self.cell.read();
+        let slice = fold.slice_of(team);
+        let state = fold.slice(slice)?;
+        (state.owner.as_ref() == Some(self.cell.owner())).then_some((slice, state.epoch))
+    }
+
+    /// Records the allotments of own teams that differ from the configuration.
+    /// Tells whether the log took every record.
+    async fn write_allotments(&self) -> bool {
+        let due = self.due_allotments();
+        let writes = due.into_iter().map(|record| self.client.record(record));
+        let results = futures::future::join_all(writes).await;
+        results.iter().all(Result::is_ok)
+    }
+
+    fn due_allotments(&self) -> Vec<CellRecord> {
+        let config = self.config.current();
+        let fold = self.cell.read();
+        let own: BTreeSet<SliceIndex> = (0..fold.slice_count())
+            .map(SliceIndex::new)
+            .filter(|slice| {
+                let owner = fold.slice(*slice).and_then(|state| state.owner.as_ref());
+                owner == Some(self.cell.owner())
+            })
+            .collect();
+        let configured = config.teams.iter().map(|(team, limits)| (team, limits.max_tasks));
+        let removed = fold.teams().map(|(team, _)| (team, 0));
+        // A team that is no longer configured may start nothing.
+        let wanted: BTreeMap<&TeamName, u32> = removed.chain(configured).collect();
+        wanted
+            .into_iter()
+            .filter(|(team, _)| own.contains(&fold.slice_of(team)))
+            .filter_map(|(team, limit)| {
+                let tasks = allotment(limit, team, &self.data_centres, &self.data_centre);
+                let known = fold.team(team);
+                let (current, version) =
+                    known.map_or((0, ConfigVersion::default()), |state| {
+                        (state.allotment, state.version)
+                    });
+                let is_due = tasks != current && config.version > version;
+                let team = team.clone();
+                let version = config.version;
+                is_due.then_some(CellRecord::AllotmentSet { team, version, tasks })
+            })
+            .collect()
+    }
+
+    /// Records the refusal of jobs that can never run. Tells whether the log
+    /// took every record.
+    async fn write_refusals(&self, refusals: &[JobRefusal]) -> bool {
+        for refusal in refusals {
+            let Some(record) = self.refusal_record(refusal) else { continue };
+            log::info!("scheduler: Job {} is refused. {}", refusal.job, refusal.reason);
+            if self.client.record(record).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn refusal_record(&self, refusal: &JobRefusal) -> Option<CellRecord> {
+        let (slice, epoch) = self.ownership(&refusal.team)?;
+        let reason = match refusal.reason {
+            RefusalReason::OverAllotment { .. } => RefuseReason::OverLimit,
+            RefusalReason::TooLarge { .. } | RefusalReason::GangTooLarge { .. } => {
+                RefuseReason::TooLarge
+            }
+        };
+        let job: JobId = refusal.job;
+        Some(CellRecord::JobRefused { job, slice, epoch, reason, at: self.clock.unix_now() })
+    }
+}
+
+fn log_placement(decision: &PlacementDecision) {
+    for choice in &decision.tasks {
+        log::info!(
+            "scheduler: Task {}/{}#{} of team {} goes to worker {}. Reason: {}.",
+            decision.job,
+            choice.task,
+            choice.attempt,
+            decision.team,
+            choice.worker,
+            decision.why,
+        );
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/session.rs
@@ -0,0 +1,452 @@
+//! One worker: control of it, its tasks and its loss.
+
+use std::sync::Arc;
+
+use pimentochute_base::{
+    EpochNumber, HostName, MilliSpan, MilliTime, WorkerIncarnation, WorkerName, rendezvous_choice,
+};
+use pimentochute_platform::{
+    ControlGrant, ControlRequest, WorkerError, WorkerReport, WorkerTarget,
+};
+use pimentochute_state::{CellRecord, RecordOutcome, TaskPhase, WorkerHealth};
+use tokio::sync::watch;
+
+use super::reconcile::{Reconciler, ReconcileError};
+use super::workers::{ListedWorker, WorkerContext};
+
+/// The time between two tries to take control.
+const ACQUIRE_PAUSE: MilliSpan = MilliSpan::new(1000);
+
+/// The time after which a worker that could not be reached is tried again by
+/// a host that gave it up.
+const RETRY_UNREACHABLE: MilliSpan = MilliSpan::new(30_000);
+
+/// The session of a host with one worker.
+pub(crate) struct WorkerSession {
+    context: Arc<WorkerContext>,
+    worker: WorkerName,
+    held: Arc<watch::Sender<usize>>,
+    control: ControlState,
+    /// The record of the worker under the epoch of the last grant.
+    seen: Option<CellRecord>,
+    /// When the worker could first not be reached, since it last could.
+    unreachable_since: Option<MilliTime>,
+}
+
+/// What a host knows about its control of a worker.
+#[derive(Debug)]
+enum ControlState {
+    /// This host has no control.
+    Without,
+    /// This host has control.
+    Held(HeldControl),
+    /// This host had control and cannot reach the worker; it no longer renews.
+    Lapsing(HeldControl),
+}
+
+/// Control of a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldControl {
+    /// The epoch to name in commands.
+    pub(crate) epoch: EpochNumber,
+    /// The run of the worker's process.
+    pub(crate) incarnation: WorkerIncarnation,
+    /// When the last command that may have extended a task's lease was begun.
+    pub(crate) extended: MilliTime,
+}
+
+impl WorkerSession {
+    /// Creates a session without control.
+    pub(crate) fn new(
+        context: Arc<WorkerContext>,
+        worker: WorkerName,
+        held: Arc<watch::Sender<usize>>,
+    ) -> Self {
+        Self { context, worker, held, control: ControlState::Without, seen: None, unreachable_since: None }
+    }
+
+    /// Runs until the worker is lost and no longer listed; returns its name.
+    pub(crate) async fn run(mut self) -> WorkerName {
+        let mut changes = self.context.cell.subscribe();
+        while !self.is_obsolete() {
+            let pause = self.step().await;
+            let deadline = tokio::time::Instant::now() + pause.as_duration();
+            while tokio::time::Instant::now() < deadline {
+                let changed = tokio::time::timeout_at(deadline, changes.changed()).await;
+                if changed.is_err() || self.needs_attention() {
+                    break;
+                }
+            }
+        }
+        self.worker
+    }
+
+    /// Tells whether a session is no longer needed.
+    fn is_obsolete(&self) -> bool {
+        let without = matches!(self.control, ControlState::Without);
+        without && self.listed().is_none() && {
+            let fold = self.context.cell.read();
+            fold.worker(&self.worker).is_none_or(|worker| worker.lost)
+        }
+    }
+
+    /// Tells whether the state asks for a command before the next renewal.
+    fn needs_attention(&self) -> bool {
+        if !matches!(self.control, ControlState::Held(_)) {
+            return false;
+        }
+        let fold = self.context.cell.read();
+        fold.placements(&self.worker).any(|attempt| {
+            let is_new = fold.live_task(attempt).is_some_and(|task| {
+                matches!(task.phase, TaskPhase::Placed { .. })
+            });
+            is_new || !fold.is_desired(attempt)
+        })
+    }
+
+    /// Does what is due and returns the pause until the next step.
+    async fn step(&mut self) -> MilliSpan {
+        let listed = self.listed();
+        let wanted = !self.context.is_releasing() && self.is_preferred();
+        match (&self.control, listed) {
+            (ControlState::Held(_), _) if !wanted => self.release(listed).await,
+            (ControlState::Held(control), Some(listed)) => {
+                let control = *control;
+                self.manage(control, listed).await
+            }
+            (ControlState::Held(control), None) => {
+                // The host list lags and may have dropped a worker that is
+                // still there; without its address it cannot be renewed.
+                self.set_control(ControlState::Lapsing(*control));
+                ACQUIRE_PAUSE
+            }
+            (ControlState::Lapsing(control), listed) => {
+                let control = *control;
+                self.watch_lapse(control, listed).await
+            }
+            (ControlState::Without, Some(listed)) if wanted => self.acquire(listed).await,
+            (ControlState::Without, None) if wanted => self.give_up_silent().await,
+            (ControlState::Without, _) => ACQUIRE_PAUSE,
+        }
+    }
+
+    /// Takes control of the worker.
+    async fn acquire(&mut self, listed: ListedWorker) -> MilliSpan {
+        let target = self.target(listed);
+        let begun = self.context.clock.now();
+        match self.context.control.acquire(&target, self.request()).await {
+            Ok(grant) => self.take_control(&grant),
+            Err(WorkerError::Held { holder }) => {
+                log::debug!("workers: Host {holder} has control of worker {}.", self.worker);
+                self.note_reachable();
+                ACQUIRE_PAUSE
+            }
+            Err(error) => {
+                log::debug!("workers: Worker {} is not acquired. {error}", self.worker);
+                self.note_unreachable(begun);
+                self.give_up_silent().await
+            }
+        }
+    }
+
+    /// Notes the control that a grant gives.
+    fn take_control(&mut self, grant: &ControlGrant) -> MilliSpan {
+        self.note_reachable();
+        let control = HeldControl {
+            epoch: grant.epoch,
+            incarnation: grant.report.incarnation,
+            // Until the grant, delayed commands may have extended leases.
+            extended: self.context.clock.now(),
+        };
+        let record = CellRecord::WorkerSeen {
+            worker: self.worker.clone(),
+            incarnation: grant.report.incarnation,
+            epoch: grant.epoch,
+            rack: grant.rack.clone(),
+            capacity: grant.capacity,
+        };
+        self.seen = Some(record);
+        self.set_control(ControlState::Held(control));
+        log::info!("workers: Worker {} is managed under epoch {}.", self.worker, grant.epoch);
+        MilliSpan::ZERO
+    }
+
+    /// Records the worker under the epoch in force unless that is done.
+    ///
+    /// Without it renewals go on, but nothing is started and reports wait.
+    async fn record_worker(&self, control: HeldControl) {
+        let Some(record) = &self.seen else { return };
+        let is_recorded = {
+            let fold = self.context.cell.read();
+            fold.worker(&self.worker).is_some_and(|worker| {
+                worker.epoch == control.epoch
+                    && worker.incarnation == control.incarnation
+                    && !worker.lost
+            })
+        };
+        if is_recorded {
+            return;
+        }
+        match self.context.client.record(record.clone()).await {
+            Ok(RecordOutcome { effect: Err(reason), .. }) => {
+                log::info!("workers: Worker {} is not taken over. {reason}", self.worker);
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!("workers: Worker {} is not recorded. {error}", self.worker),
+        }
+    }
+
+    /// Renews the worker and brings its tasks in line with the state.
+    async fn manage(&mut self, control: HeldControl, listed: ListedWorker) -> MilliSpan {
+        if self.context.is_isolated() {
+            // Others may be waiting for the leases of this worker to lapse.
+            log::warn!("workers: Worker {} is not renewed, this host is isolated.", self.worker);
+            return ACQUIRE_PAUSE;
+        }
+        let target = self.target(listed);
+        let mut reconciler = Reconciler::new(&self.context, &target, control);
+        let result = reconciler.reconcile().await;
+        let control = reconciler.control();
+        if let ControlState::Held(held) = &mut self.control {
+            held.extended = control.extended;
+        }
+        match result {
+            Ok(report) => {
+                self.note_reachable();
+                self.record_worker(control).await;
+                self.set_health(listed).await;
+                self.after_report(&report, control)
+            }
+            Err(ReconcileError::Fenced) => {
+                log::info!("workers: Control of worker {} is taken anew.", self.worker);
+                self.set_control(ControlState::Lapsing(control));
+                MilliSpan::ZERO
+            }
+            Err(ReconcileError::Silent) => {
+                let since = self.note_unreachable(self.context.clock.now());
+                let silent = self.context.clock.now().since(since);
+                if silent >= self.context.settings.control_lease_ms {
+                    log::warn!("workers: Worker {} does not answer.", self.worker);
+                    self.set_control(ControlState::Lapsing(control));
+                }
+                ACQUIRE_PAUSE
+            }
+        }
+    }
+
+    fn after_report(&mut self, report: &WorkerReport, control: HeldControl) -> MilliSpan {
+        if report.incarnation == control.incarnation {
+            return self.context.settings.renew_ms;
+        }
+        self.set_control(ControlState::Without);
+        MilliSpan::ZERO
+    }
+
+    /// Tries to take control again without extending leases, and declares the
+    /// worker lost once the leases of its tasks have lapsed.
+    async fn watch_lapse(
+        &mut self,
+        control: HeldControl,
+        listed: Option<ListedWorker>,
+    ) -> MilliSpan {
+        if let Some(listed) = listed {
+            let target = self.target(listed);
+            match self.context.control.acquire(&target, self.request()).await {
+                Ok(grant) => return self.take_control(&grant),
+                Err(WorkerError::Held { .. }) => {
+                    self.note_reachable();
+                    self.set_control(ControlState::Without);
+                    return ACQUIRE_PAUSE;
+                }
+                Err(error) => {
+                    log::debug!("workers: Worker {} is not acquired. {error}", self.worker);
+                }
+            }
+        }
+        let elapsed = self.context.clock.now().since(control.extended);
+        if elapsed < self.context.lapse_time() {
+            return ACQUIRE_PAUSE;
+        }
+        self.declare_lost(control.incarnation, control.epoch).await
+    }
+
+    /// Declares a worker lost that neither this host nor its manager reaches.
+    ///
+    /// The manager must have been silent for so long that its control and the
+    /// leases that it extended have lapsed.
+    async fn give_up_silent(&mut self) -> MilliSpan {
+        let now = self.context.clock.now();
+        let Some((manager, incarnation, epoch)) = self.recorded_manager() else {
+            return ACQUIRE_PAUSE;
+        };
+        let wait = self.context.settings.control_lease_ms + self.context.lapse_time();
+        let since = *self.unreachable_since.get_or_insert(now);
+        let silent = self.context.table.silence(&manager, now);
+        if now.since(since) < wait || silent < wait && manager != self.own_host() {
+            return ACQUIRE_PAUSE;
+        }
+        self.declare_lost(incarnation, epoch).await
+    }
+
+    async fn declare_lost(
+        &mut self,
+        incarnation: WorkerIncarnation,
+        epoch: EpochNumber,
+    ) -> MilliSpan {
+        let worker = self.worker.clone();
+        let at = self.context.clock.unix_now();
+        let record = CellRecord::WorkerLost { worker, incarnation, epoch, at };
+        match self.context.client.record(record).await {
+            Ok(_) => {
+                log::warn!("workers: Worker {} is lost, its leases have lapsed.", self.worker);
+                self.set_control(ControlState::Without);
+            }
+            Err(error) => {
+                log::debug!("workers: The loss of {} is not recorded. {error}", self.worker);
+            }
+        }
+        ACQUIRE_PAUSE
+    }
+
+    /// Gives up control, since another host manages the worker from now on.
+    async fn release(&mut self, listed: Option<ListedWorker>) -> MilliSpan {
+        let ControlState::Held(control) = &self.control else { return ACQUIRE_PAUSE };
+        let epoch = control.epoch;
+        if let Some(listed) = listed {
+            let target = self.target(listed);
+            match self.context.control.release(&target, epoch).await {
+                Ok(()) => log::info!("workers: Worker {} is released.", self.worker),
+                Err(error) => log::debug!("workers: Worker {} {error}", self.worker),
+            }
+        }
+        self.set_control(ControlState::Without);
+        ACQUIRE_PAUSE
+    }
+
+    /// Records quarantine, release from quarantine and leaving.
+    async fn set_health(&self, listed: ListedWorker) {
+        let wanted = {
+            let fold = self.context.cell.read();
+            let Some(worker) = fold.worker(&self.worker) else { return };
+            let limit = self.context.settings.quarantine_failures;
+            let failures = u32::try_from(worker.failed_jobs.len()).unwrap_or(u32::MAX);
+            let wanted = wanted_health(listed.leaving, worker.health, failures, limit);
+            if wanted == worker.health {
+                return;
+            }
+            wanted
+        };
+        log::warn!("workers: Worker {} becomes {wanted}.", self.worker);
+        let worker = self.worker.clone();
+        let record = CellRecord::WorkerHealthSet { worker, health: wanted };
+        if let Err(error) = self.context.client.record(record).await {
+            log::debug!("workers: The health of {} is not recorded. {error}", self.worker);
+        }
+    }
+
+    /// Tells whether this host is to manage the worker: rendezvous hashing
+    /// over the hosts that can reach it.
+    fn is_preferred(&self) -> bool {
+        let now = self.context.clock.now();
+        let staying = self.context.table.staying_hosts(now);
+        let reaching: Vec<&HostName> =
+            staying.iter().filter(|host| !self.is_cut_off(host, now)).collect();
+        let candidates: Vec<&str> = if reaching.is_empty() {
+            staying.iter().map(HostName::as_str).collect()
+        } else {
+            reaching.into_iter().map(HostName::as_str).collect()
+        };
+        rendezvous_choice(self.worker.as_str(), &candidates) == Some(self.own_host().as_str())
+    }
+
+    /// Tells whether a host reports that it cannot reach the worker.
+    fn is_cut_off(&self, host: &HostName, now: MilliTime) -> bool {
+        if *host == self.own_host() {
+            return self
+                .unreachable_since
+                .is_some_and(|since| now.since(since) < RETRY_UNREACHABLE);
+        }
+        let status = self.context.table.status(host);
+        status.is_some_and(|status| status.beat.unreachable_workers.contains(&self.worker))
+    }
+
+    fn recorded_manager(&self) -> Option<(HostName, WorkerIncarnation, EpochNumber)> {
+        let fold = self.context.cell.read();
+        let worker = fold.worker(&self.worker).filter(|worker| !worker.lost)?;
+        Some((worker.manager.clone(), worker.incarnation, worker.epoch))
+    }
+
+    fn note_reachable(&mut self) {
+        self.unreachable_since = None;
+        self.context.unreachable.set(&self.worker, false);
+    }
+
+    fn note_unreachable(&mut self, now: MilliTime) -> MilliTime {
+        self.context.unreachable.set(&self.worker, true);
+        *self.unreachable_since.get_or_insert(now)
+    }
+
+    fn set_control(&mut self, control: ControlState) {
+        let before = matches!(self.control, ControlState::Held(_));
+        let after = matches!(control, ControlState::Held(_));
+        self.control = control;
+        if before != after {
+            self.held.send_modify(|count| {
+                *count = if after { *count + 1 } else { count.saturating_sub(1) };
+            });
+        }
+    }
+
+    fn listed(&self) -> Option<ListedWorker> {
+        self.context.listed_workers().get(&self.worker).copied()
+    }
+
+    fn target(&self, listed: ListedWorker) -> WorkerTarget {
+        WorkerTarget { name: self.worker.clone(), address: listed.address }
+    }
+
+    fn request(&self) -> ControlRequest {
+        ControlRequest {
+            holder: self.own_host(),
+            incarnation: self.context.cell.owner().incarnation,
+            lease: self.context.settings.control_lease_ms,
+        }
+    }
+
+    fn own_host(&self) -> HostName {
+        self.context.cell.owner().host.clone()
+    }
+}
+
+impl WorkerContext {
+    /// Tells whether this host has heard neither the log nor a peer for so
+    /// long that peers may count it as gone.
+    fn is_isolated(&self) -> bool {
+        let limit = self.settings.isolation_ms;
+        let has_peers = self.table.hosts_of(self.table.own_centre()).len() > 1;
+        let silence = self.table.shortest_silence(self.clock.now());
+        has_peers && self.log_health.age() > limit && silence > limit
+    }
+
+    /// Returns the time after the last extension was begun after which every
+    /// task's lease has lapsed at the worker.
+    ///
+    /// A command may be delayed until the control lease has lapsed, and then
+    /// extends tasks by their lease; the margin is for clock rates.
+    pub(crate) fn lapse_time(&self) -> MilliSpan {
+        let lease = self.settings.control_lease_ms + self.settings.task_lease_ms;
+        let percent = u64::from(self.settings.margin_percent);
+        let drift = MilliSpan::new(lease.as_millis().saturating_mul(percent) / 100);
+        lease + drift + self.settings.margin_ms
+    }
+}
+
+/// Returns the health that a worker should have.
+fn wanted_health(leaving: bool, health: WorkerHealth, failures: u32, limit: u32) -> WorkerHealth {
+    match health {
+        _ if leaving => WorkerHealth::Leaving,
+        _ if failures >= limit => WorkerHealth::Quarantined,
+        WorkerHealth::Quarantined if failures > 0 => WorkerHealth::Quarantined,
+        _ => WorkerHealth::Healthy,
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/slices.rs
@@ -0,0 +1,222 @@
+//! Claims and releases slices of the teams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimentochute_base::{
+    EpochNumber, HostName, MilliClock, MilliSpan, MilliTime, SliceIndex, rendezvous_choice,
+};
+use pimentochute_state::{CellRecord, SliceOwner};
+
+use super::cell::CellShared;
+use super::client::RecordClient;
+use super::writer::{WriterChoice, WriterRole};
+use crate::{DrainGate, PeerTable};
+
+/// The time between two looks at the slices.
+const TICK: Duration = Duration::from_millis(250);
+
+/// The slice whose owner appends for the data centre.
+const WRITER_SLICE: SliceIndex = SliceIndex::new(0);
+
+/// Keeps the slices of this host.
+pub(crate) struct SliceManager {
+    cell: Arc<CellShared>,
+    client: RecordClient,
+    table: Arc<PeerTable>,
+    clock: MilliClock,
+    /// The silence after which an owner counts as gone.
+    takeover: MilliSpan,
+    gate: Arc<DrainGate>,
+    started: MilliTime,
+}
+
+/// What is to be done about a slice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SliceAction {
+    /// Nothing.
+    Keep,
+    /// This host claims the slice under this epoch.
+    Claim(EpochNumber),
+    /// This host gives the slice up.
+    Release(EpochNumber),
+}
+
+/// The facts that a slice's owner is decided from.
+#[derive(Debug)]
+pub struct SliceFacts<'a> {
+    /// The slice.
+    pub slice: SliceIndex,
+    /// This run of this host.
+    pub own: &'a SliceOwner,
+    /// The owner by log order.
+    pub owner: Option<&'a SliceOwner>,
+    /// The epoch by log order.
+    pub epoch: EpochNumber,
+    /// Whether the owner was heard lately in the run that claimed the slice.
+    pub owner_heard: bool,
+    /// The live hosts of the data centre that are not stopping.
+    pub staying: &'a [HostName],
+}
+
+impl SliceFacts<'_> {
+    /// Decides what this host does.
+    ///
+    /// Two hosts may claim at once; log order lets one of them win, since both
+    /// name the same epoch.
+    #[must_use]
+    pub fn decide(&self) -> SliceAction {
+        let is_preferred = self.preferred() == Some(self.own.host.as_str());
+        if self.owner == Some(self.own) {
+            return if is_preferred { SliceAction::Keep } else { SliceAction::Release(self.epoch) };
+        }
+        if is_preferred && !self.owner_heard {
+            return SliceAction::Claim(self.epoch.next());
+        }
+        SliceAction::Keep
+    }
+
+    fn preferred(&self) -> Option<&str> {
+        let hosts: Vec<&str> = self.staying.iter().map(HostName::as_str).collect();
+        rendezvous_choice(&format!("slice-{}", self.slice), &hosts)
+    }
+}
+
+impl SliceManager {
+    /// Creates the manager.
+    pub(crate) fn new(
+        cell: Arc<CellShared>,
+        client: RecordClient,
+        table: Arc<PeerTable>,
+        clock: MilliClock,
+        takeover: MilliSpan,
+        gate: Arc<DrainGate>,
+    ) -> Self {
+        let started = clock.now();
+        Self { cell, client, table, clock, takeover, gate, started }
+    }
+
+    /// Claims and releases until its future is dropped.
+    pub(crate) async fn run(&self) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            if self.gate.is_draining() {
+                continue;
+            }
+            let records = self.due_records();
+            futures::future::join_all(records.into_iter().map(|record| self.write(record))).await;
+        }
+    }
+
+    /// Releases every slice of this host, for a planned stop.
+    pub(crate) async fn release_all(&self) {
+        let records = self.own_slices().into_iter().map(|(slice, epoch)| {
+            self.write(CellRecord::SliceReleased { slice, epoch })
+        });
+        futures::future::join_all(records).await;
+    }
+
+    fn own_slices(&self) -> Vec<(SliceIndex, EpochNumber)> {
+        let fold = self.cell.read();
+        let slices = (0..fold.slice_count()).map(SliceIndex::new);
+        slices
+            .filter_map(|slice| Some((slice, fold.slice(slice)?)))
+            .filter(|(_, state)| state.owner.as_ref() == Some(self.cell.owner()))
+            .map(|(slice, state)| (slice, state.epoch))
+            .collect()
+    }
+
+    fn due_records(&self) -> Vec<CellRecord> {
+        let now = self.clock.now();
+        let staying = self.staying_hosts(now);
+        let fold = self.cell.read();
+        let slices = (0..fold.slice_count()).map(SliceIndex::new);
+        slices
+            .filter_map(|slice| {
+                let state = fold.slice(slice)?;
+                let facts = SliceFacts {
+                    slice,
+                    own: self.cell.owner(),
+                    owner: state.owner.as_ref(),
+                    epoch: state.epoch,
+                    owner_heard: state.owner.as_ref().is_some_and(|o| self.is_heard(o, now)),
+                    staying: &staying,
+                };
+                self.record_of(slice, facts.decide())
+            })
+            .collect()
+    }
+
+    fn record_of(&self, slice: SliceIndex, action: SliceAction) -> Option<CellRecord> {
+        match action {
+            SliceAction::Keep => None,
+            SliceAction::Claim(epoch) => Some(CellRecord::SliceClaimed {
+                slice,
+                host: self.cell.owner().host.clone(),
+                incarnation: self.cell.owner().incarnation,
+                epoch,
+            }),
+            SliceAction::Release(epoch) => Some(CellRecord::SliceReleased { slice, epoch }),
+        }
+    }
+
+    /// Returns the hosts that slices go to. Shortly after the start, before
+    /// every peer had time to send a heartbeat, there are none: a claim on a
+    /// slice that a live host owns would only move it back and forth.
+    fn staying_hosts(&self, now: MilliTime) -> Vec<HostName> {
+        let all = self.table.hosts_of(self.table.own_centre()).len();
+        let staying = self.table.staying_hosts(now);
+        if staying.len() < all && now.since(self.started) < self.takeover {
+            return Vec::new();
+        }
+        staying
+    }
+
+    /// Tells whether an owner was heard lately in the run that made the claim.
+    fn is_heard(&self, owner: &SliceOwner, now: MilliTime) -> bool {
+        if owner.host == self.cell.owner().host {
+            return owner.incarnation == self.cell.owner().incarnation;
+        }
+        let silent = self.table.silence(&owner.host, now) >= self.takeover;
+        let replaced = self.table.status(&owner.host).is_some_and(|status| {
+            status.beat.incarnation != owner.incarnation && now.since(status.received) < self.takeover
+        });
+        !silent && !replaced
+    }
+
+    async fn write(&self, record: CellRecord) {
+        let text = describe(&record);
+        match self.client.record(record).await {
+            Ok(outcome) => match outcome.effect {
+                Ok(_) => log::info!("slices: {text}."),
+                Err(reason) => log::debug!("slices: {text} had no effect. {reason}"),
+            },
+            Err(error) => log::debug!("slices: {text} is not recorded. {error}"),
+        }
+    }
+}
+
+impl WriterChoice for CellShared {
+    fn writer(&self) -> WriterRole {
+        let fold = self.read();
+        match fold.slice(WRITER_SLICE).and_then(|state| state.owner.as_ref()) {
+            Some(owner) if owner == self.owner() => WriterRole::ThisHost,
+            Some(owner) if owner.host != self.owner().host => {
+                WriterRole::OtherHost(owner.host.clone())
+            }
+            _ => WriterRole::Nobody,
+        }
+    }
+}
+
+fn describe(record: &CellRecord) -> String {
+    match record {
+        CellRecord::SliceClaimed { slice, epoch, .. } => {
+            format!("Claim of slice {slice} under epoch {epoch}")
+        }
+        CellRecord::SliceReleased { slice, epoch } => {
+            format!("Release of slice {slice} under epoch {epoch}")
+        }
+        other => <&str>::from(other).to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/control/workers.rs
@@ -0,0 +1,155 @@
+//! Manages the workers of the data centre: one session per worker.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pimentochute_base::{DataCentreName, MilliClock, WorkerName};
+use pimentochute_platform::{HostRole, HostStatus, WorkerControl};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::cell::CellShared;
+use super::client::RecordClient;
+use super::directory::HostList;
+use super::health::LogHealth;
+use super::session::WorkerSession;
+use crate::PeerTable;
+use crate::settings::WorkerSettings;
+
+/// The time between two looks at the set of workers.
+const TICK: Duration = Duration::from_millis(250);
+
+/// What the sessions of all workers share.
+pub(crate) struct WorkerContext {
+    pub(crate) cell: Arc<CellShared>,
+    pub(crate) client: RecordClient,
+    pub(crate) control: Arc<dyn WorkerControl>,
+    pub(crate) table: Arc<PeerTable>,
+    pub(crate) clock: MilliClock,
+    pub(crate) settings: WorkerSettings,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) hosts: watch::Receiver<HostList>,
+    /// Whether control of every worker is given up, for a planned stop.
+    pub(crate) releasing: AtomicBool,
+    pub(crate) unreachable: Arc<UnreachableWorkers>,
+    pub(crate) log_health: Arc<LogHealth>,
+}
+
+/// The workers that this host cannot reach, as peers are told.
+#[derive(Debug, Default)]
+pub(crate) struct UnreachableWorkers {
+    names: Mutex<BTreeSet<WorkerName>>,
+}
+
+impl UnreachableWorkers {
+    /// Notes whether a worker can be reached.
+    pub(crate) fn set(&self, worker: &WorkerName, unreachable: bool) {
+        if unreachable {
+            self.names().insert(worker.clone());
+        } else {
+            self.names().remove(worker);
+        }
+    }
+
+    /// Returns the workers.
+    pub(crate) fn list(&self) -> Vec<WorkerName> {
+        self.names().iter().cloned().collect()
+    }
+
+    fn names(&self) -> MutexGuard<'_, BTreeSet<WorkerName>> {
+        self.names.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Starts a session for each worker.
+pub(crate) struct WorkerManager {
+    context: Arc<WorkerContext>,
+    /// The number of sessions that hold control of their worker.
+    held: Arc<watch::Sender<usize>>,
+}
+
+impl WorkerManager {
+    /// Creates a manager without sessions.
+    pub(crate) fn new(context: WorkerContext) -> Self {
+        Self { context: Arc::new(context), held: Arc::new(watch::Sender::new(0)) }
+    }
+
+    /// Manages until its future is dropped, which ends every session.
+    pub(crate) async fn run(&self) {
+        // Sessions that held control in an earlier run of this loop are gone.
+        self.held.send_replace(0);
+        let mut sessions = JoinSet::new();
+        let mut running = BTreeSet::new();
+        loop {
+            for worker in self.known_workers() {
+                if running.insert(worker.clone()) {
+                    let session = WorkerSession::new(
+                        Arc::clone(&self.context),
+                        worker,
+                        Arc::clone(&self.held),
+                    );
+                    sessions.spawn(session.run());
+                }
+            }
+            tokio::select! {
+                Some(ended) = sessions.join_next() => {
+                    if let Ok(worker) = ended {
+                        running.remove(&worker);
+                    }
+                }
+                () = tokio::time::sleep(TICK) => {}
+            }
+        }
+    }
+
+    /// Gives up control of every worker, for a planned stop.
+    pub(crate) async fn release_all(&self) {
+        self.context.releasing.store(true, Ordering::SeqCst);
+        let mut held = self.held.subscribe();
+        // The sender lives as long as this manager.
+        let _ = held.wait_for(|count| *count == 0).await;
+    }
+
+    /// Returns the listed workers, and those that the state knows and that are
+    /// not lost.
+    fn known_workers(&self) -> BTreeSet<WorkerName> {
+        let mut names: BTreeSet<WorkerName> =
+            self.context.listed_workers().into_keys().collect();
+        let fold = self.context.cell.read();
+        names.extend(fold.workers().filter(|w| !w.lost).map(|w| w.name.clone()));
+        names
+    }
+}
+
+impl WorkerContext {
+    /// Returns the workers of the data centre in the host list.
+    pub(crate) fn listed_workers(&self) -> BTreeMap<WorkerName, ListedWorker> {
+        let hosts = self.hosts.borrow().clone();
+        let hosts = hosts.as_ref().map_or(&[][..], |hosts| hosts.as_slice());
+        hosts
+            .iter()
+            .filter(|host| host.role == HostRole::Worker && host.data_centre == self.data_centre)
+            .filter_map(|host| {
+                let name = WorkerName::new(&host.name).ok()?;
+                let leaving = host.status == HostStatus::Leaving;
+                Some((name, ListedWorker { address: host.address, leaving }))
+            })
+            .collect()
+    }
+
+    /// Tells whether control of every worker is given up.
+    pub(crate) fn is_releasing(&self) -> bool {
+        self.releasing.load(Ordering::SeqCst)
+    }
+}
+
+/// A worker in the host list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ListedWorker {
+    /// The address that the worker serves.
+    pub(crate) address: std::net::SocketAddr,
+    /// Whether the worker finishes what it has and takes nothing new.
+    pub(crate) leaving: bool,
+}
--- a/crates/pimentochute-state/src/cell/end.rs
+++ b/crates/pimentochute-state/src/cell/end.rs
@@ -1,6 +1,8 @@
 //! The ends of attempts and jobs.
 
-use pimentochute_base::{AttemptNumber, AttemptRef, MilliTime, TaskIndex, WorkKind, WorkerName};
+use pimentochute_base::{
+    AttemptNumber, AttemptRef, EpochNumber, MilliTime, TaskIndex, WorkKind, WorkerName,
+};
 
 use super::fold::{CellFold, JobSlot};
 use super::limits::{MAX_ENDED_TASKS, RETRY_RESET};
@@ -29,9 +31,11 @@
     pub(super) fn end_task(
         &mut self,
         attempt: AttemptRef,
+        epoch: EpochNumber,
         reason: EndReason,
         at: MilliTime,
     ) -> Result<CellEffect, InvalidReason> {
+        self.check_control(attempt, epoch)?;
         let end = self.end_attempt(attempt, reason, at)?;
         Ok(CellEffect::TaskEnded {
             attempt,
@@ -41,6 +45,24 @@
         })
     }
 
+    /// Checks that the worker of a live attempt is controlled under `epoch`.
+    ///
+    /// A manager that was paused after losing control could otherwise end an
+    /// attempt that a newer manager has started.
+    fn check_control(&self, attempt: AttemptRef, epoch: EpochNumber) -> Result<(), InvalidReason> {
+        let place = self.live_task(attempt).and_then(|task| task.phase.place());
+        let Some((_, name, _)) = place else {
+            return Err(InvalidReason::AttemptNotLive);
+        };
+        match self.worker(name) {
+            Some(worker) if worker.epoch != epoch => Err(InvalidReason::StaleControl {
+                worker: name.clone(),
+                current: worker.epoch,
+            }),
+            _ => Ok(()),
+        }
+    }
+
     /// Frees the place of a live attempt and decides what follows.
     pub(super) fn end_attempt(
         &mut self,
--- a/crates/pimentochute-state/src/cell/fold.rs
+++ b/crates/pimentochute-state/src/cell/fold.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use pimentochute_base::{
-    AttemptRef, JobId, LogOffset, MilliTime, SliceIndex, TeamName, WorkerName,
+    AttemptRef, HostName, JobId, LogOffset, MilliTime, SliceIndex, TeamName, WorkerName,
 };
 use slotmap::{SlotMap, new_key_type};
 use smallvec::SmallVec;
 
 use super::owner::{SliceOwner, SliceState, TeamState};
+use super::worker::{ControlPair, WorkerSight};
 use super::writer::WriterSet;
 use super::{CellSnapshot, JobState, SnapshotError, TaskState, WorkerState};
 use crate::decode::next_record;
@@ -235,7 +236,7 @@
 
     fn apply_record(&mut self, stamped: StampedRecord) -> RecordOutcome {
         let effect = if self.writers.admit(&stamped.tag, self.next_offset) {
-            self.dispatch(stamped.record)
+            self.dispatch(stamped.record, &stamped.tag.host)
         } else {
             Err(InvalidReason::RepeatedRecord)
         };
@@ -247,7 +248,11 @@
         }
     }
 
-    fn dispatch(&mut self, record: CellRecord) -> Result<CellEffect, InvalidReason> {
+    fn dispatch(
+        &mut self,
+        record: CellRecord,
+        writer: &HostName,
+    ) -> Result<CellEffect, InvalidReason> {
         match record {
             CellRecord::JobSubmitted { spec, at } => self.submit_job(spec, at),
             CellRecord::JobCancelled { job, at } => self.cancel_job(job, at),
@@ -268,20 +273,33 @@
             CellRecord::TaskStarted { attempt, at } => self.start_task(attempt, at),
             CellRecord::TaskEnded {
                 attempt,
+                epoch,
                 reason,
                 at,
-            } => self.end_task(attempt, reason, at),
+            } => self.end_task(attempt, epoch, reason, at),
             CellRecord::WorkerSeen {
                 worker,
                 incarnation,
+                epoch,
                 rack,
                 capacity,
-            } => self.see_worker(worker, incarnation, rack, capacity),
+            } => {
+                let manager = writer.clone();
+                let control = ControlPair { incarnation, epoch };
+                self.see_worker(WorkerSight {
+                    worker,
+                    control,
+                    manager,
+                    rack,
+                    capacity,
+                })
+            }
             CellRecord::WorkerLost {
                 worker,
                 incarnation,
+                epoch,
                 at,
-            } => self.lose_worker(worker, incarnation, at),
+            } => self.lose_worker(worker, ControlPair { incarnation, epoch }, at),
             CellRecord::WorkerHealthSet { worker, health } => self.set_health(worker, health),
             CellRecord::SliceClaimed {
                 slice,
--- a/crates/pimentochute-state/src/cell/restore.rs
+++ b/crates/pimentochute-state/src/cell/restore.rs
@@ -205,6 +205,8 @@
         Self {
             name: wire.name,
             incarnation: wire.incarnation,
+            epoch: wire.epoch,
+            manager: wire.manager,
             rack: wire.rack,
             capacity: wire.capacity,
             committed: ResourceAmount::ZERO,
--- a/crates/pimentochute-state/src/cell/snapshot.rs
+++ b/crates/pimentochute-state/src/cell/snapshot.rs
@@ -1,8 +1,8 @@
 //! The wire type of the cell's state.
 
 use pimentochute_base::{
-    ConfigVersion, EpochNumber, JobId, LogOffset, MilliTime, RackName, ResourceAmount, TeamName,
-    WorkerIncarnation, WorkerName,
+    ConfigVersion, EpochNumber, HostName, JobId, LogOffset, MilliTime, RackName, ResourceAmount,
+    TeamName, WorkerIncarnation, WorkerName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -66,6 +66,10 @@
     pub name: WorkerName,
     /// The run of its process.
     pub incarnation: WorkerIncarnation,
+    /// The recorded epoch of control.
+    pub epoch: EpochNumber,
+    /// The host that has control.
+    pub manager: HostName,
     /// Its rack.
     pub rack: RackName,
     /// What it has in all.
@@ -152,6 +156,8 @@
         Self {
             name: worker.name.clone(),
             incarnation: worker.incarnation,
+            epoch: worker.epoch,
+            manager: worker.manager.clone(),
             rack: worker.rack.clone(),
             capacity: worker.capacity,
             health: worker.health,
--- a/crates/pimentochute-state/src/cell/worker.rs
+++ b/crates/pimentochute-state/src/cell/worker.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 
 use pimentochute_base::{
-    AttemptRef, JobId, MilliTime, RackName, ResourceAmount, WorkerIncarnation, WorkerName,
+    AttemptRef, EpochNumber, HostName, JobId, MilliTime, RackName, ResourceAmount,
+    WorkerIncarnation, WorkerName,
 };
 use smallvec::SmallVec;
 
@@ -18,6 +19,10 @@
     pub name: WorkerName,
     /// The run of its process.
     pub incarnation: WorkerIncarnation,
+    /// The epoch of the last recorded control of `incarnation`; it only rises.
+    pub epoch: EpochNumber,
+    /// The host that recorded `epoch`.
+    pub manager: HostName,
     /// Its rack.
     pub rack: RackName,
     /// What it has in all.
@@ -38,6 +43,22 @@
     pub past: SmallVec<[WorkerIncarnation; 1]>,
 }
 
+/// The run of a worker's process and the epoch of control of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ControlPair {
+    pub(super) incarnation: WorkerIncarnation,
+    pub(super) epoch: EpochNumber,
+}
+
+/// A worker as the host that took control of it records it.
+pub(super) struct WorkerSight {
+    pub(super) worker: WorkerName,
+    pub(super) control: ControlPair,
+    pub(super) manager: HostName,
+    pub(super) rack: RackName,
+    pub(super) capacity: ResourceAmount,
+}
+
 impl WorkerState {
     /// Returns the capacity that is not committed.
     #[must_use]
@@ -68,25 +89,25 @@
 }
 
 impl CellFold {
-    pub(super) fn see_worker(
-        &mut self,
-        name: WorkerName,
-        incarnation: WorkerIncarnation,
-        rack: RackName,
-        capacity: ResourceAmount,
-    ) -> Result<CellEffect, InvalidReason> {
-        let Some(&slot) = self.worker_slots.get(&name) else {
-            return self.add_worker(name, incarnation, rack, capacity);
+    pub(super) fn see_worker(&mut self, sight: WorkerSight) -> Result<CellEffect, InvalidReason> {
+        let Some(&slot) = self.worker_slots.get(&sight.worker) else {
+            return self.add_worker(sight);
         };
+        let name = sight.worker;
         let Some(worker) = self.workers.get(slot) else {
             return Err(InvalidReason::UnknownWorker { worker: name });
         };
+        let incarnation = sight.control.incarnation;
         if worker.past.contains(&incarnation) {
             return Err(InvalidReason::OtherIncarnation { worker: name });
         }
         let restarted = worker.incarnation != incarnation;
-        if !restarted && !worker.lost && worker.rack == rack && worker.capacity == capacity {
-            return Err(InvalidReason::Unchanged);
+        if !restarted && sight.control.epoch <= worker.epoch {
+            let current = worker.epoch;
+            return Err(InvalidReason::StaleControl {
+                worker: name,
+                current,
+            });
         }
         let lapsed = if restarted {
             self.lapse_all(&name, self.latest)
@@ -98,8 +119,10 @@
             if restarted {
                 worker.replace_incarnation(incarnation);
             }
-            worker.rack = rack;
-            worker.capacity = capacity;
+            worker.epoch = sight.control.epoch;
+            worker.manager = sight.manager;
+            worker.rack = sight.rack;
+            worker.capacity = sight.capacity;
             worker.lost = false;
         }
         Ok(CellEffect::WorkerSeen {
@@ -112,16 +135,23 @@
     pub(super) fn lose_worker(
         &mut self,
         name: WorkerName,
-        incarnation: WorkerIncarnation,
+        control: ControlPair,
         at: MilliTime,
     ) -> Result<CellEffect, InvalidReason> {
         let Some(&slot) = self.worker_slots.get(&name) else {
             return Err(InvalidReason::UnknownWorker { worker: name });
         };
         let worker = self.workers.get(slot);
-        if worker.is_none_or(|worker| worker.incarnation != incarnation) {
+        if worker.is_none_or(|worker| worker.incarnation != control.incarnation) {
             return Err(InvalidReason::OtherIncarnation { worker: name });
         }
+        if let Some(worker) = worker.filter(|worker| worker.epoch != control.epoch) {
+            let current = worker.epoch;
+            return Err(InvalidReason::StaleControl {
+                worker: name,
+                current,
+            });
+        }
         if worker.is_some_and(|worker| worker.lost) {
             return Err(InvalidReason::WorkerLost { worker: name });
         }
@@ -156,21 +186,18 @@
         })
     }
 
-    fn add_worker(
-        &mut self,
-        name: WorkerName,
-        incarnation: WorkerIncarnation,
-        rack: RackName,
-        capacity: ResourceAmount,
-    ) -> Result<CellEffect, InvalidReason> {
+    fn add_worker(&mut self, sight: WorkerSight) -> Result<CellEffect, InvalidReason> {
         if self.workers.len() >= MAX_WORKERS {
             return Err(InvalidReason::Full { what: "workers" });
         }
+        let (name, incarnation) = (sight.worker, sight.control.incarnation);
         let slot = self.workers.insert(WorkerState {
             name: name.clone(),
             incarnation,
-            rack,
-            capacity,
+            epoch: sight.control.epoch,
+            manager: sight.manager,
+            rack: sight.rack,
+            capacity: sight.capacity,
             committed: ResourceAmount::ZERO,
             health: WorkerHealth::Healthy,
             lost: false,
--- a/crates/pimentochute-state/src/outcome.rs
+++ b/crates/pimentochute-state/src/outcome.rs
@@ -243,6 +243,16 @@
         /// The worker.
         worker: WorkerName,
     },
+    /// The writer's control of the worker is not the recorded one.
+    #[display(
+        "control of worker {worker} is recorded under epoch {current}; hint: another host manages it"
+    )]
+    StaleControl {
+        /// The worker.
+        worker: WorkerName,
+        /// The recorded epoch.
+        current: EpochNumber,
+    },
     /// The worker is lost.
     #[display("worker {worker} is lost; hint: choose another one")]
     WorkerLost {
--- a/crates/pimentochute-state/src/record.rs
+++ b/crates/pimentochute-state/src/record.rs
@@ -91,6 +91,8 @@
     TaskEnded {
         /// The attempt.
         attempt: AttemptRef,
+        /// The epoch under which the writer has control of the worker.
+        epoch: EpochNumber,
         /// How it ended.
         reason: EndReason,
         /// When the end was seen.
@@ -102,6 +104,8 @@
         worker: WorkerName,
         /// The run of its process. Tasks on another incarnation end as lapsed.
         incarnation: WorkerIncarnation,
+        /// The epoch under which the writer has control of the worker.
+        epoch: EpochNumber,
         /// Its rack.
         rack: RackName,
         /// What it has in all.
@@ -113,6 +117,8 @@
         worker: WorkerName,
         /// The run of its process.
         incarnation: WorkerIncarnation,
+        /// The last recorded epoch of control of the worker.
+        epoch: EpochNumber,
         /// When it was given up.
         at: MilliTime,
     },
--- a/tests/tests/state_cell/moves.rs
+++ b/tests/tests/state_cell/moves.rs
@@ -12,7 +12,7 @@
 use proptest::sample::select;
 
 use super::support::{
-    CellDriver, SLICES, WORKER_CPU, allotted, claimed, job_spec, seen, team, worker,
+    CellDriver, SLICES, WORKER_CPU, allotted, claimed, job_spec, seen_under, team, worker,
 };
 
 const TEAMS: [&str; 2] = ["a", "b"];
@@ -129,13 +129,18 @@
             let reason = *reason;
             CellRecord::TaskEnded {
                 attempt,
+                epoch: driver.control_of(attempt),
                 reason,
                 at,
             }
         }
-        CellMove::See(index, run, cpu) => seen(WORKERS[*index], *run, *cpu),
+        CellMove::See(index, run, cpu) => {
+            let epoch = recorded_epoch(driver, *index) + 1;
+            seen_under(WORKERS[*index], *run, epoch, *cpu)
+        }
         CellMove::Lose(index, run) => CellRecord::WorkerLost {
             worker: worker(WORKERS[*index]),
+            epoch: EpochNumber::new(recorded_epoch(driver, *index)),
             incarnation: WorkerIncarnation::new(*run),
             at,
         },
@@ -247,3 +252,8 @@
 pub fn move_teams() -> [pimentochute_base::TeamName; 2] {
     TEAMS.map(team)
 }
+
+fn recorded_epoch(driver: &CellDriver, index: usize) -> u64 {
+    let known = driver.fold.worker(&worker(WORKERS[index]));
+    known.map_or(1, |worker| worker.epoch.get())
+}
--- a/tests/tests/state_cell/support.rs
+++ b/tests/tests/state_cell/support.rs
@@ -67,9 +67,14 @@
 }
 
 pub fn seen(name: &str, incarnation: u64, cpu: u64) -> CellRecord {
+    seen_under(name, incarnation, 1, cpu)
+}
+
+pub fn seen_under(name: &str, incarnation: u64, epoch: u64, cpu: u64) -> CellRecord {
     CellRecord::WorkerSeen {
         worker: worker(name),
         incarnation: WorkerIncarnation::new(incarnation),
+        epoch: EpochNumber::new(epoch),
         rack: RackName::new("rack").expect("valid name"),
         capacity: ResourceAmount::new(cpu, 1_000),
     }
@@ -209,13 +214,25 @@
     }
 
     pub fn ended(&self, job: JobId, task: u32, attempt: u32, reason: EndReason) -> CellRecord {
+        let attempt = attempt_ref(job, task, attempt);
         CellRecord::TaskEnded {
-            attempt: attempt_ref(job, task, attempt),
+            attempt,
+            epoch: self.control_of(attempt),
             reason,
             at: self.at(),
         }
     }
 
+    /// Returns the recorded epoch of control of the worker of a live attempt.
+    pub fn control_of(&self, attempt: AttemptRef) -> EpochNumber {
+        let place = self
+            .fold
+            .live_task(attempt)
+            .and_then(|task| task.phase.place());
+        let known = place.and_then(|(_, name, _)| self.fold.worker(name));
+        known.map_or(EpochNumber::new(1), |worker| worker.epoch)
+    }
+
     pub fn end(&mut self, job: JobId, task: u32, attempt: u32, reason: EndReason) -> RecordOutcome {
         let outcome = self.outcome(self.ended(job, task, attempt, reason));
         assert!(outcome.effect.is_ok(), "{outcome:?}");
@@ -223,9 +240,11 @@
     }
 
     pub fn lost(&self, name: &str) -> CellRecord {
+        let known = self.fold.worker(&worker(name));
         CellRecord::WorkerLost {
             worker: worker(name),
             incarnation: WorkerIncarnation::new(1),
+            epoch: known.map_or(EpochNumber::new(1), |worker| worker.epoch),
             at: self.at(),
         }
     }
--- a/tests/tests/state_cell/workers.rs
+++ b/tests/tests/state_cell/workers.rs
@@ -3,7 +3,9 @@
 use pimentochute_base::{WorkKind, WorkerIncarnation};
 use pimentochute_state::{CellEffect, CellRecord, EndReason, InvalidReason, TaskPhase};
 
-use super::support::{CellDriver, WORKER_CPU, attempt_ref, job_spec, placement, seen, worker};
+use super::support::{
+    CellDriver, WORKER_CPU, attempt_ref, job_spec, placement, seen, seen_under, worker,
+};
 
 /// Guards against tasks of an older run of a worker holding their places.
 #[test]
@@ -43,7 +45,7 @@
     assert!(matches!(driver.phase(job, 1), TaskPhase::Placed { .. }));
     let reason = driver.invalid(driver.lost("w1"));
     assert!(matches!(reason, InvalidReason::WorkerLost { .. }));
-    driver.valid(seen("w1", 1, WORKER_CPU));
+    driver.valid(seen_under("w1", 1, 2, WORKER_CPU));
     driver.place(job, &[placement(0, 2, "w1")]);
 }
 
@@ -56,7 +58,7 @@
     let loss = driver.lost("w1");
     let loss = driver.stamp(loss);
     assert!(driver.append(loss.clone()).effect.is_ok());
-    driver.valid(seen("w1", 1, WORKER_CPU));
+    driver.valid(seen_under("w1", 1, 2, WORKER_CPU));
     driver.place(job, &[placement(0, 1, "w1")]);
     let outcome = driver.append(loss);
     assert_eq!(outcome.effect, Err(InvalidReason::RepeatedRecord));
@@ -95,7 +97,7 @@
     let mut driver = CellDriver::ready();
     let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 3));
     driver.place(job, &[placement(0, 1, "w1"), placement(1, 1, "w1")]);
-    driver.valid(seen("w1", 1, 1_000));
+    driver.valid(seen_under("w1", 1, 2, 1_000));
     driver.end(job, 0, 1, EndReason::Succeeded);
     let record = driver.placed(job, &[placement(2, 1, "w1")]);
     assert!(matches!(
@@ -150,3 +152,40 @@
     let reason = driver.invalid(started(&driver, 1));
     assert_eq!(reason, InvalidReason::AlreadyStarted);
 }
+
+/// Guards against a manager that was paused after losing control ending an
+/// attempt that the next manager has started: the task would be placed a
+/// second time while it runs.
+#[test]
+fn end_under_an_older_epoch_is_ignored() {
+    let mut driver = CellDriver::ready();
+    let job = driver.submit(&job_spec("a", "k", WorkKind::Batch, 1));
+    driver.place(job, &[placement(0, 1, "w1")]);
+    let late = driver.ended(job, 0, 1, EndReason::RefusedByWorker);
+    driver.valid(seen_under("w1", 1, 2, WORKER_CPU));
+    let reason = driver.invalid(late);
+    assert!(matches!(reason, InvalidReason::StaleControl { .. }));
+    assert!(matches!(driver.phase(job, 0), TaskPhase::Placed { .. }));
+    driver.end(job, 0, 1, EndReason::Succeeded);
+}
+
+/// Guards against a loss that was declared under an older epoch ending the
+/// tasks of a worker that has come back under another manager.
+#[test]
+fn loss_under_an_older_epoch_is_ignored() {
+    let mut driver = CellDriver::ready();
+    let late = driver.lost("w1");
+    driver.valid(seen_under("w1", 1, 2, WORKER_CPU));
+    let reason = driver.invalid(late);
+    assert!(matches!(reason, InvalidReason::StaleControl { .. }));
+}
+
+/// Guards against a late record of an earlier manager taking the place of the
+/// present one.
+#[test]
+fn older_epoch_of_a_worker_is_not_brought_back() {
+    let mut driver = CellDriver::ready();
+    driver.valid(seen_under("w1", 1, 3, WORKER_CPU));
+    let reason = driver.invalid(seen_under("w1", 1, 2, WORKER_CPU));
+    assert!(matches!(reason, InvalidReason::StaleControl { .. }));
+}
