--- /dev/null
+++ b/crates/pimentochute-server/src/metrics.rs
@@ -0,0 +1,133 @@
+//! Counters and histograms, shown as Prometheus text.
+
+use derive_more::{Display, Error};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pimentochute_base::MilliSpan;
+use prometheus::{Registry, TextEncoder};
+
+/// The bounds of duration histograms, in milliseconds.
+const DURATION_BOUNDS_MS: &[f64] = &[
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0,
+    30_000.0,
+];
+
+/// The metrics of the process.
+pub struct Metrics {
+    registry: Registry,
+    meter: Meter,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    durations: Histogram<f64>,
+    refusals: Counter<u64>,
+    connections: UpDownCounter<i64>,
+    refused_connections: Counter<u64>,
+    child_failures: Counter<u64>,
+    peer_calls: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the metrics with a registry of their own.
+    ///
+    /// # Errors
+    /// Fails if the exporter cannot be set up.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|source| MetricsError::Setup { source })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("pimentochute");
+        Ok(Self {
+            registry,
+            answers: meter.u64_counter("http_answers").build(),
+            durations: meter
+                .f64_histogram("http_duration_ms")
+                .with_boundaries(DURATION_BOUNDS_MS.to_vec())
+                .build(),
+            refusals: meter.u64_counter("refusals").build(),
+            connections: meter.i64_up_down_counter("http_connections").build(),
+            refused_connections: meter.u64_counter("http_connections_refused").build(),
+            child_failures: meter.u64_counter("child_failures").build(),
+            peer_calls: meter.u64_counter("peer_calls").build(),
+            meter,
+            _provider: provider,
+        })
+    }
+
+    /// Returns the meter, for instruments of other parts.
+    #[must_use]
+    pub const fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Returns all metrics as Prometheus text.
+    ///
+    /// # Errors
+    /// Fails if a metric cannot be written as text.
+    pub fn text(&self) -> Result<String, MetricsError> {
+        let encoded = TextEncoder::new().encode_to_string(&self.registry.gather());
+        encoded.map_err(|source| MetricsError::Encode { source })
+    }
+
+    /// Counts an answer of an HTTP server.
+    pub fn answered(&self, server: &'static str, status: u16, took: MilliSpan) {
+        let server = KeyValue::new("server", server);
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[server.clone(), status]);
+        let millis = took.as_duration().as_secs_f64() * 1_000.0;
+        self.durations.record(millis, &[server]);
+    }
+
+    /// Counts a refusal by its code.
+    pub fn refused(&self, code: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("code", code)]);
+    }
+
+    /// Counts a connection that was opened (1) or closed (-1).
+    pub fn connection(&self, server: &'static str, change: i64) {
+        self.connections
+            .add(change, &[KeyValue::new("server", server)]);
+    }
+
+    /// Counts a connection over the limit.
+    pub fn connection_refused(&self, server: &'static str) {
+        self.refused_connections
+            .add(1, &[KeyValue::new("server", server)]);
+    }
+
+    /// Counts a failure of a part of the daemon.
+    pub fn child_failed(&self, child: &'static str) {
+        self.child_failures.add(1, &[KeyValue::new("child", child)]);
+    }
+
+    /// Counts a call to another entry host.
+    pub fn peer_called(&self, call: &'static str, succeeded: bool) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("succeeded", succeeded),
+        ];
+        self.peer_calls.add(1, &labels);
+    }
+}
+
+/// The metrics cannot be set up or shown.
+#[derive(Debug, Display, Error)]
+pub enum MetricsError {
+    /// The exporter cannot be set up.
+    #[display("metrics cannot be set up: {source}")]
+    Setup {
+        /// What the exporter reported.
+        source: OTelSdkError,
+    },
+    /// A metric cannot be written as text.
+    #[display("metrics cannot be shown: {source}")]
+    Encode {
+        /// What the encoder reported.
+        source: prometheus::Error,
+    },
+}
--- a/crates/pimentochute-server/src/settings.rs
+++ b/crates/pimentochute-server/src/settings.rs
@@ -15,9 +15,9 @@
 pub use address::{AddressError, HostPort, SecretText};
 pub use check::check_settings;
 pub use groups::{
-    ConfigurationSettings, DirectorySettings, DrainSettings, HttpSettings, LogFormat, LogLevel,
-    LogSettings, LoggingSettings, PeerSettings, RequestSettings, SliceSettings, SupervisorSettings,
-    WorkerSettings,
+    ConfigurationSettings, DirectorySettings, DrainSettings, HttpSettings, JobSettings, LogFormat,
+    LogLevel, LogSettings, LoggingSettings, PeerSettings, RequestSettings, SliceSettings,
+    SupervisorSettings, WorkerSettings,
 };
 pub use limit::LimitRow;
 
@@ -56,6 +56,8 @@
     pub directory: DirectorySettings,
     /// Routed requests.
     pub requests: RequestSettings,
+    /// Submitted jobs.
+    pub jobs: JobSettings,
     /// The HTTP servers.
     pub http: HttpSettings,
     /// The planned stop.
--- a/crates/pimentochute-server/src/settings/document.rs
+++ b/crates/pimentochute-server/src/settings/document.rs
@@ -7,7 +7,7 @@
 
 use super::{
     ConfigurationSettings, DataCentreSettings, DirectorySettings, DrainSettings, EntryHost,
-    HostPort, HttpSettings, ListenSettings, LogSettings, LoggingSettings, OperatorKey,
+    HostPort, HttpSettings, JobSettings, ListenSettings, LogSettings, LoggingSettings, OperatorKey,
     PeerSettings, RequestSettings, SecretText, Settings, SliceSettings, SupervisorSettings,
     WorkerSettings,
 };
@@ -32,6 +32,7 @@
     log: LogSettings,
     directory: DirectorySettings,
     requests: RequestSettings,
+    jobs: JobSettings,
     http: HttpSettings,
     drain: DrainSettings,
     supervisor: SupervisorSettings,
@@ -127,6 +128,7 @@
             log: self.log,
             directory: self.directory,
             requests: self.requests,
+            jobs: self.jobs,
             http: self.http,
             drain: self.drain,
             supervisor: self.supervisor,
@@ -143,6 +145,7 @@
             self.log.range_faults("log"),
             self.directory.range_faults("directory"),
             self.requests.range_faults("requests"),
+            self.jobs.range_faults("jobs"),
             self.http.range_faults("http"),
             self.drain.range_faults("drain"),
             self.supervisor.range_faults("supervisor"),
--- a/crates/pimentochute-server/src/settings/groups.rs
+++ b/crates/pimentochute-server/src/settings/groups.rs
@@ -128,6 +128,16 @@
     }
 }
 
+limit_group! {
+    /// Submitted jobs.
+    JobSettings {
+        /// The most tasks of a job.
+        max_tasks: u32 = 10_000, 1..=1_000_000;
+        /// The largest command of a job.
+        max_command_bytes: u32 = 16_384, 1..=1_048_576;
+    }
+}
+
 limit_group! {
     /// The HTTP servers for callers, operators and peers.
     HttpSettings {
@@ -141,8 +151,10 @@
         max_connections: u32 = 2_048, 1..=100_000;
         /// The memory that request bodies may take together.
         max_buffered_bytes: u32 = 536_870_912, 1_024..=2_147_483_648;
-        /// The time in which the head of a request has to arrive.
-        header_timeout_ms: MilliSpan = 10_000, 50..=600_000;
+        /// The time in which the head of a request has to arrive, and the idle
+        /// time after which a connection is closed; longer than that of the
+        /// load balancer, which otherwise meets closed connections.
+        header_timeout_ms: MilliSpan = 75_000, 50..=600_000;
         /// The time in which the body of a request has to arrive.
         body_timeout_ms: MilliSpan = 30_000, 50..=600_000;
         /// The wait that a refused caller is told.
--- /dev/null
+++ b/crates/pimentochute-server/src/supervisor.rs
@@ -0,0 +1,226 @@
+//! Runs the parts of the daemon and restarts those that fail.
+
+use std::collections::VecDeque;
+use std::error::Error as StdError;
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use futures::future::BoxFuture;
+use pimentochute_base::{MilliClock, MilliSpan, MilliTime};
+use tokio::task::{JoinError, JoinSet};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::metrics::Metrics;
+use crate::settings::SupervisorSettings;
+
+/// The run of a child until it ends.
+pub type ChildFuture = BoxFuture<'static, Result<(), ChildError>>;
+
+/// A part of the daemon that is restarted when it fails.
+///
+/// A run has to end soon after its token is cancelled; an end before that
+/// counts as a failure.
+#[derive(Clone)]
+pub struct ChildSpec {
+    name: &'static str,
+    stop: Option<CancellationToken>,
+    start: Arc<dyn Fn(CancellationToken) -> ChildFuture + Send + Sync>,
+}
+
+impl ChildSpec {
+    /// Creates a child; `start` is called for every run.
+    pub fn new<F, R>(name: &'static str, start: F) -> Self
+    where
+        F: Fn(CancellationToken) -> R + Send + Sync + 'static,
+        R: Future<Output = Result<(), ChildError>> + Send + 'static,
+    {
+        Self {
+            name,
+            stop: None,
+            start: Arc::new(move |stop| Box::pin(start(stop))),
+        }
+    }
+
+    /// Sets a token of its own, so that the child ends before the others.
+    #[must_use]
+    pub fn with_stop(mut self, stop: CancellationToken) -> Self {
+        self.stop = Some(stop);
+        self
+    }
+}
+
+/// The reason why a run of a child ended.
+#[derive(Debug, Display, Error)]
+pub enum ChildError {
+    /// The child reported a failure.
+    #[display("{source}")]
+    Failed {
+        /// The failure.
+        source: Box<dyn StdError + Send + Sync>,
+    },
+    /// The child panicked.
+    #[display("panicked: {detail}")]
+    Panicked {
+        /// The message of the panic.
+        #[error(not(source))]
+        detail: String,
+    },
+    /// The child ended although nobody asked it to.
+    #[display("ended without being asked to")]
+    EndedEarly,
+}
+
+impl ChildError {
+    /// Wraps a failure.
+    pub fn new(source: impl Into<Box<dyn StdError + Send + Sync>>) -> Self {
+        Self::Failed {
+            source: source.into(),
+        }
+    }
+}
+
+/// A child failed too often, so that the process has to end.
+#[derive(Debug, Display, Error)]
+#[display("{child} failed {failures} times within {window}, the last time: {last}")]
+pub struct Escalation {
+    /// The child.
+    pub child: &'static str,
+    /// The failures within the window.
+    pub failures: usize,
+    /// The window.
+    pub window: MilliSpan,
+    /// The last failure.
+    #[error(source)]
+    pub last: ChildError,
+}
+
+/// Restarts children with backoff and gives up when one fails too often.
+#[derive(Clone)]
+pub struct Supervisor {
+    settings: SupervisorSettings,
+    clock: MilliClock,
+    metrics: Arc<Metrics>,
+}
+
+impl Supervisor {
+    /// Creates a supervisor without children.
+    #[must_use]
+    pub fn new(settings: SupervisorSettings, clock: MilliClock, metrics: Arc<Metrics>) -> Self {
+        Self {
+            settings,
+            clock,
+            metrics,
+        }
+    }
+
+    /// Runs the children until `stop` is cancelled and all of them have ended.
+    /// Dropping the future aborts them.
+    ///
+    /// # Errors
+    /// Fails if a child failed too often; the others were stopped.
+    pub async fn run(
+        self,
+        children: Vec<ChildSpec>,
+        stop: CancellationToken,
+    ) -> Result<(), Escalation> {
+        let mut runs = JoinSet::new();
+        for child in children {
+            let own = child.stop.clone().unwrap_or_else(|| stop.clone());
+            runs.spawn(self.clone().supervise(child, own));
+        }
+        let mut outcome = Ok(());
+        while let Some(joined) = runs.join_next().await {
+            if let Ok(Err(escalation)) = joined {
+                log::error!("supervisor: giving up: {escalation}");
+                stop.cancel();
+                outcome = outcome.and(Err(escalation));
+            }
+        }
+        outcome
+    }
+
+    async fn supervise(self, child: ChildSpec, stop: CancellationToken) -> Result<(), Escalation> {
+        let mut failures = FailureWindow::new(self.settings);
+        loop {
+            let error = match run_once(&child, &stop).await {
+                Ok(()) if stop.is_cancelled() => return Ok(()),
+                Ok(()) => ChildError::EndedEarly,
+                Err(error) => error,
+            };
+            if stop.is_cancelled() {
+                log::warn!("supervisor: {} failed while stopping: {error}", child.name);
+                return Ok(());
+            }
+            self.metrics.child_failed(child.name);
+            let Some(wait) = failures.note(self.clock.now()) else {
+                return Err(Escalation {
+                    child: child.name,
+                    failures: failures.times.len(),
+                    window: self.settings.failure_window_ms,
+                    last: error,
+                });
+            };
+            log::warn!(
+                "supervisor: {} failed, restart in {wait}: {error}",
+                child.name
+            );
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                () = tokio::time::sleep(wait.as_duration()) => {}
+            }
+        }
+    }
+}
+
+async fn run_once(child: &ChildSpec, stop: &CancellationToken) -> Result<(), ChildError> {
+    let run = tokio::spawn((child.start)(stop.clone()));
+    match AbortOnDropHandle::new(run).await {
+        Ok(result) => result,
+        Err(error) => Err(ChildError::Panicked {
+            detail: panic_detail(error),
+        }),
+    }
+}
+
+fn panic_detail(error: JoinError) -> String {
+    let Ok(panic) = error.try_into_panic() else {
+        return "the task was aborted".to_owned();
+    };
+    let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+    text.or_else(|| panic.downcast_ref::<String>().cloned())
+        .unwrap_or_else(|| "no message".to_owned())
+}
+
+/// The failures of one child within the window.
+struct FailureWindow {
+    settings: SupervisorSettings,
+    times: VecDeque<MilliTime>,
+}
+
+impl FailureWindow {
+    const fn new(settings: SupervisorSettings) -> Self {
+        Self {
+            settings,
+            times: VecDeque::new(),
+        }
+    }
+
+    /// Notes a failure and returns the wait before the restart; none if the
+    /// child failed too often.
+    fn note(&mut self, now: MilliTime) -> Option<MilliSpan> {
+        let window = self.settings.failure_window_ms;
+        self.times.retain(|time| now.since(*time) < window);
+        self.times.push_back(now);
+        let count = u32::try_from(self.times.len()).unwrap_or(u32::MAX);
+        if count > self.settings.max_failures {
+            return None;
+        }
+        let factor = 1_u64.checked_shl(count - 1).unwrap_or(u64::MAX);
+        let first = self.settings.backoff_ms.as_millis();
+        let wait = first.saturating_mul(factor);
+        Some(MilliSpan::new(
+            wait.min(self.settings.max_backoff_ms.as_millis()),
+        ))
+    }
+}
