--- /dev/null
+++ b/crates/pimentochute-server/src/admission.rs
@@ -0,0 +1,193 @@
+//! Who a caller is and which work it may hand in.
+
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use pimentochute_base::{KeyDigest, KeyId, MilliSpan, QueueName, TeamName};
+use pimentochute_state::{CellConfig, QueueConfig};
+
+use crate::refusal::{Refusal, RefusalCode};
+use crate::settings::OperatorKey;
+
+/// The caller of a page.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerIdentity {
+    /// No key was presented.
+    Anonymous,
+    /// A key of a team was presented.
+    Team {
+        /// The key.
+        key: KeyId,
+        /// The team of the key.
+        team: TeamName,
+    },
+    /// A key of an operator was presented.
+    Operator {
+        /// The name of the operator's key.
+        name: String,
+    },
+}
+
+/// Work that may be handed in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdmittedWork {
+    /// The team that the work counts for.
+    pub team: TeamName,
+    /// The settings of the queue.
+    pub queue: QueueConfig,
+}
+
+/// The checks under one version of the configuration.
+pub struct AdmissionCheck<'a> {
+    /// The configuration in force.
+    pub config: &'a CellConfig,
+    /// Whether it is known to be current enough for keys of teams.
+    pub takes_keyed_work: bool,
+    /// The keys of the operators.
+    pub operators: &'a [OperatorKey],
+    /// The wait that a refused caller is told.
+    pub retry_after: MilliSpan,
+}
+
+impl AdmissionCheck<'_> {
+    /// Finds out who presented the key of a call.
+    ///
+    /// All digests are compared, each in constant time, so that the time does
+    /// not tell which key is close. Without a current configuration no key of
+    /// a team counts, since it may have been withdrawn.
+    ///
+    /// # Errors
+    /// Refuses an unknown key, and any key of a team while the configuration
+    /// may be out of date.
+    pub fn identify(&self, headers: &HeaderMap) -> Result<CallerIdentity, Refusal> {
+        let Some(secret) = bearer_secret(headers)? else {
+            return Ok(CallerIdentity::Anonymous);
+        };
+        let digest = KeyDigest::of(secret);
+        let mut found = None;
+        for operator in self.operators {
+            if operator.digest.matches(&digest) {
+                let name = operator.name.clone();
+                found = Some(CallerIdentity::Operator { name });
+            }
+        }
+        if found.is_none() && !self.takes_keyed_work {
+            return Err(self.stale());
+        }
+        for (key, config) in &self.config.keys {
+            if config.digest.matches(&digest) && found.is_none() {
+                found = Some(CallerIdentity::Team {
+                    key: key.clone(),
+                    team: config.team.clone(),
+                });
+            }
+        }
+        found.ok_or_else(unknown_key)
+    }
+
+    /// Decides whether a caller may hand work to a queue, and for which team.
+    ///
+    /// # Errors
+    /// Refuses an unknown queue, work without a key outside open queues, and
+    /// work for a team other than the key's or outside the queue.
+    pub fn admit(
+        &self,
+        caller: &CallerIdentity,
+        queue: &QueueName,
+        named: Option<&TeamName>,
+    ) -> Result<AdmittedWork, Refusal> {
+        let Some(config) = self.config.queues.get(queue) else {
+            return Err(self.unknown_queue(queue));
+        };
+        let team = match caller {
+            CallerIdentity::Operator { .. } => return Err(operator_key_for_work()),
+            CallerIdentity::Team { team, .. } => keyed_team(team, named)?,
+            CallerIdentity::Anonymous => open_team(queue, config, named)?,
+        };
+        if !config.teams.contains(team) {
+            let error = format!("queue {queue} takes no work of team {team}");
+            let hint = "choose another queue, or ask the operators to add the team";
+            return Err(Refusal::new(RefusalCode::Forbidden, error, hint));
+        }
+        Ok(AdmittedWork {
+            team: team.clone(),
+            queue: config.clone(),
+        })
+    }
+
+    fn unknown_queue(&self, queue: &QueueName) -> Refusal {
+        if !self.takes_keyed_work {
+            return self.stale();
+        }
+        let error = format!("queue {queue} does not exist");
+        Refusal::new(RefusalCode::UnknownQueue, error, "check the queue name")
+    }
+
+    fn stale(&self) -> Refusal {
+        let error = "the host does not know whether its configuration is current";
+        let hint = "try again, another host may know";
+        Refusal::new(RefusalCode::StaleConfiguration, error, hint)
+            .with_retry_after(self.retry_after)
+    }
+}
+
+fn keyed_team<'a>(team: &'a TeamName, named: Option<&TeamName>) -> Result<&'a TeamName, Refusal> {
+    match named {
+        Some(named) if named != team => {
+            let error = format!("the key is not one of team {named}");
+            let hint = "present a key of the team that the work names";
+            Err(Refusal::new(RefusalCode::Forbidden, error, hint))
+        }
+        _ => Ok(team),
+    }
+}
+
+/// Returns the team of work without a key.
+fn open_team<'a>(
+    queue: &QueueName,
+    config: &'a QueueConfig,
+    named: Option<&TeamName>,
+) -> Result<&'a TeamName, Refusal> {
+    let needs_key = || {
+        let error = format!("queue {queue} takes this work only with a key");
+        unauthenticated(error)
+    };
+    let first = config.teams.first().ok_or_else(needs_key)?;
+    let of_other = named.is_some_and(|named| named != first);
+    if !config.open || of_other {
+        return Err(needs_key());
+    }
+    Ok(first)
+}
+
+fn operator_key_for_work() -> Refusal {
+    let error = "a key of an operator does not hand in work";
+    Refusal::new(RefusalCode::Forbidden, error, "present a key of the team")
+}
+
+fn unknown_key() -> Refusal {
+    unauthenticated("the key is unknown or withdrawn".to_owned())
+}
+
+fn unauthenticated(error: String) -> Refusal {
+    let hint = "send a valid key as `authorization: Bearer SECRET`";
+    Refusal::new(RefusalCode::Unauthenticated, error, hint)
+}
+
+/// Returns the secret of the authorization header; none without the header.
+pub(crate) fn bearer_secret(headers: &HeaderMap) -> Result<Option<&str>, Refusal> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let malformed = || unauthenticated("the authorization header is malformed".to_owned());
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(malformed());
+    }
+    let text = value.to_str().map_err(|_| malformed())?;
+    let (scheme, secret) = text.split_once(' ').ok_or_else(malformed)?;
+    let secret = secret.trim();
+    if !scheme.eq_ignore_ascii_case("bearer") || secret.is_empty() {
+        return Err(malformed());
+    }
+    Ok(Some(secret))
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/daemon.rs
@@ -0,0 +1,231 @@
+//! The life of the daemon: start, run, graceful stop.
+
+mod stop;
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error, From};
+use futures::future::BoxFuture;
+use pimentochute_base::{HostIncarnation, MilliClock};
+use pimentochute_route::RequestRoute;
+use tokio::sync::mpsc;
+
+use crate::assembly::{DaemonContext, assemble};
+use crate::settings::Settings;
+use crate::{
+    BindError, ChildSpec, ControlPlane, DrainGate, EndpointList, Escalation, HeartbeatLoop,
+    HeartbeatSource, HttpServer, Metrics, MetricsError, PeerClient, PeerParts, PeerTable,
+    PublicParts, ServerContext, Supervisor, peer_router, public_router,
+};
+
+pub use stop::DaemonEnd;
+use stop::{StopSequence, StopTokens};
+
+/// The signals that are remembered while the daemon is busy.
+const SIGNAL_QUEUE: usize = 8;
+
+/// The parts that the shell of the daemon does not build itself.
+pub struct DaemonParts {
+    /// The log-ordered state.
+    pub control: Arc<dyn ControlPlane>,
+    /// The router.
+    pub route: Arc<dyn RequestRoute>,
+    /// The endpoints, for operators.
+    pub endpoints: Arc<dyn EndpointList>,
+    /// The heartbeats of this host.
+    pub beats: Arc<dyn HeartbeatSource>,
+    /// What is given up during a planned stop.
+    pub hooks: Arc<dyn StopHooks>,
+    /// Followers, writer, slice manager, scheduler loop, worker manager, host
+    /// list poller.
+    pub children: Vec<ChildSpec>,
+}
+
+/// What a planned stop gives up after the accepted requests have finished.
+///
+/// The peer listener and all children still run then.
+pub trait StopHooks: Send + Sync {
+    /// Releases the slices of this host.
+    fn release_slices(&self) -> BoxFuture<'_, ()>;
+
+    /// Releases control of the workers of this host.
+    fn release_workers(&self) -> BoxFuture<'_, ()>;
+}
+
+/// A demand to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSignal;
+
+/// Runs the daemon until a signal stops it.
+///
+/// # Errors
+/// Fails if the daemon cannot start or a part fails too often.
+pub async fn run(settings: Settings) -> Result<DaemonEnd, DaemonError> {
+    let daemon = Daemon::bind(settings, MilliClock::system()).await?;
+    let signals = stop::process_signals()?;
+    let parts = assemble(daemon.context()).await?;
+    daemon.run(parts, signals).await
+}
+
+/// A daemon that holds its listeners but does not serve yet.
+pub struct Daemon {
+    context: DaemonContext,
+    public: HttpServer,
+    peer: HttpServer,
+}
+
+impl Daemon {
+    /// Binds the listeners.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be used or the metrics cannot be set up.
+    pub async fn bind(settings: Settings, clock: MilliClock) -> Result<Self, DaemonError> {
+        let context = daemon_context(Arc::new(settings), clock)?;
+        let server = server_context(&context);
+        let settings = &context.settings;
+        let limits = settings.http;
+        let listen = settings.listen;
+        let public = HttpServer::bind("public", listen.public, limits, server.clone()).await?;
+        let peer = HttpServer::bind("peer", listen.peer, limits, server).await?;
+        Ok(Self {
+            context,
+            public,
+            peer,
+        })
+    }
+
+    /// Returns what the other parts may build on.
+    #[must_use]
+    pub const fn context(&self) -> &DaemonContext {
+        &self.context
+    }
+
+    /// Returns the server for callers and operators.
+    #[must_use]
+    pub const fn public(&self) -> &HttpServer {
+        &self.public
+    }
+
+    /// Returns the server for other entry hosts.
+    #[must_use]
+    pub const fn peer(&self) -> &HttpServer {
+        &self.peer
+    }
+
+    /// Serves until a signal arrives, then stops gracefully.
+    ///
+    /// # Errors
+    /// Fails if a part fails too often.
+    pub async fn run(
+        self,
+        parts: DaemonParts,
+        signals: mpsc::Receiver<StopSignal>,
+    ) -> Result<DaemonEnd, DaemonError> {
+        let tokens = StopTokens::default();
+        let children = self.children(&parts, &tokens);
+        let supervisor = Supervisor::new(
+            self.context.settings.supervisor,
+            self.context.clock.clone(),
+            Arc::clone(&self.context.metrics),
+        );
+        log::info!(
+            "daemon: host {} of data centre {} starts, run {}",
+            self.context.settings.host,
+            self.context.settings.data_centre,
+            self.context.incarnation,
+        );
+        let running = supervisor.run(children, tokens.all.clone());
+        let sequence = StopSequence {
+            context: &self.context,
+            hooks: &*parts.hooks,
+            public: &self.public,
+            peer: &self.peer,
+            tokens: &tokens,
+        };
+        sequence.run(running, signals).await
+    }
+
+    fn children(&self, parts: &DaemonParts, tokens: &StopTokens) -> Vec<ChildSpec> {
+        let context = &self.context;
+        let server = server_context(context);
+        let public_parts = PublicParts {
+            control: Arc::clone(&parts.control),
+            route: Arc::clone(&parts.route),
+            endpoints: Arc::clone(&parts.endpoints),
+        };
+        let peer_parts = PeerParts {
+            control: Arc::clone(&parts.control),
+            route: Arc::clone(&parts.route),
+            beats: Arc::clone(&parts.beats),
+            table: Arc::clone(&context.peers),
+        };
+        let public = public_router(Arc::clone(&context.settings), public_parts, server.clone());
+        let peer = peer_router(&context.settings, peer_parts, server);
+        let heartbeat = HeartbeatLoop {
+            settings: Arc::clone(&context.settings),
+            link: Arc::clone(&context.link),
+            beats: Arc::clone(&parts.beats),
+            table: Arc::clone(&context.peers),
+            clock: context.clock.clone(),
+        };
+        let mut children = parts.children.clone();
+        children.push(heartbeat.child());
+        children.push(self.peer.child(peer, tokens.peer.clone()));
+        children.push(self.public.child(public, tokens.public.clone()));
+        children
+    }
+}
+
+fn daemon_context(
+    settings: Arc<Settings>,
+    clock: MilliClock,
+) -> Result<DaemonContext, DaemonError> {
+    let metrics = Arc::new(Metrics::new()?);
+    let peers = Arc::new(PeerTable::new(&settings, clock.now()));
+    let client = Arc::new(PeerClient::new(
+        Arc::clone(&settings),
+        Arc::clone(&peers),
+        clock.clone(),
+        Arc::clone(&metrics),
+    ));
+    Ok(DaemonContext {
+        // The runs of a host are numbered by the time of their start.
+        incarnation: HostIncarnation::new(clock.unix_now().as_millis()),
+        gate: Arc::new(DrainGate::new(clock.clone())),
+        link: client.clone(),
+        forward: client,
+        settings,
+        clock,
+        metrics,
+        peers,
+    })
+}
+
+fn server_context(context: &DaemonContext) -> ServerContext {
+    ServerContext {
+        clock: context.clock.clone(),
+        gate: Arc::clone(&context.gate),
+        metrics: Arc::clone(&context.metrics),
+    }
+}
+
+/// The daemon cannot start or go on.
+#[derive(Debug, Display, Error, From)]
+pub enum DaemonError {
+    /// A listener cannot be bound.
+    #[display("{_0}")]
+    Bind(BindError),
+    /// The metrics cannot be set up.
+    #[display("{_0}")]
+    Metrics(MetricsError),
+    /// A part failed too often.
+    #[display("{_0}")]
+    Failed(Escalation),
+    /// The signals of the process cannot be received.
+    #[display("signals cannot be received: {_0}")]
+    Signals(std::io::Error),
+    /// The build holds no control plane and no router.
+    #[display("this build holds no control plane and no router")]
+    #[from(skip)]
+    NotAssembled,
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/daemon/stop.rs
@@ -0,0 +1,155 @@
+//! The graceful stop.
+
+use futures::future::{Either, select};
+use futures::pin_mut;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::{DaemonError, SIGNAL_QUEUE, StopHooks, StopSignal};
+use crate::assembly::DaemonContext;
+use crate::{Escalation, HttpServer};
+
+/// The most calls that are named when a stop cuts them.
+const MAX_NAMED_CALLS: usize = 50;
+
+/// How the daemon ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DaemonEnd {
+    /// Every accepted call got its answer.
+    Clean,
+    /// The stop was cut short by the drain limit or a second signal.
+    Cut {
+        /// The calls that were in flight.
+        calls: usize,
+    },
+}
+
+/// The tokens of a stop, in the order in which they are cancelled.
+#[derive(Default)]
+pub(super) struct StopTokens {
+    /// Closes the public listener.
+    pub(super) public: CancellationToken,
+    /// Closes the peer listener.
+    pub(super) peer: CancellationToken,
+    /// Stops everything else.
+    pub(super) all: CancellationToken,
+}
+
+/// Sends a stop signal for every SIGTERM and SIGINT of the process.
+pub(super) fn process_signals() -> std::io::Result<mpsc::Receiver<StopSignal>> {
+    let (sender, receiver) = mpsc::channel(SIGNAL_QUEUE);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        loop {
+            let arrived = tokio::select! {
+                arrived = terminate.recv() => arrived,
+                arrived = interrupt.recv() => arrived,
+            };
+            if arrived.is_none() || sender.send(StopSignal).await.is_err() {
+                return;
+            }
+        }
+    });
+    Ok(receiver)
+}
+
+/// The parts of a graceful stop.
+pub(super) struct StopSequence<'a> {
+    pub(super) context: &'a DaemonContext,
+    pub(super) hooks: &'a dyn StopHooks,
+    pub(super) public: &'a HttpServer,
+    pub(super) peer: &'a HttpServer,
+    pub(super) tokens: &'a StopTokens,
+}
+
+impl StopSequence<'_> {
+    /// Runs the children until a signal arrives, then stops them in order.
+    pub(super) async fn run(
+        &self,
+        running: impl Future<Output = Result<(), Escalation>>,
+        mut signals: mpsc::Receiver<StopSignal>,
+    ) -> Result<DaemonEnd, DaemonError> {
+        pin_mut!(running);
+        tokio::select! {
+            result = &mut running => return self.ended(result),
+            () = next_signal(&mut signals) => {}
+        }
+        let limit = self.context.settings.drain.drain_limit_ms;
+        log::info!("daemon: stopping, the limit is {limit}");
+        let cause = tokio::select! {
+            // The children end when the last token of the sequence is
+            // cancelled, or when one of them failed too often.
+            result = join_first(running, self.stop_in_order()) => return self.ended(result),
+            () = tokio::time::sleep(limit.as_duration()) => "the drain limit",
+            () = next_signal(&mut signals) => "a second signal",
+        };
+        let calls = self.log_cut(cause);
+        Ok(DaemonEnd::Cut { calls })
+    }
+
+    /// Lets the accepted calls finish, gives up what this host holds and stops
+    /// the children.
+    async fn stop_in_order(&self) {
+        let context = self.context;
+        context.gate.start_drain();
+        let delay = context.settings.drain.drain_delay_ms;
+        log::info!("daemon: not ready, listeners close in {delay}");
+        tokio::time::sleep(delay.as_duration()).await;
+        self.tokens.public.cancel();
+        self.public.finished().await;
+        log::info!("daemon: every accepted call has its answer");
+        self.hooks.release_slices().await;
+        self.hooks.release_workers().await;
+        log::info!("daemon: slices and workers are released");
+        self.tokens.peer.cancel();
+        self.peer.finished().await;
+        self.tokens.all.cancel();
+    }
+
+    fn ended(&self, result: Result<(), Escalation>) -> Result<DaemonEnd, DaemonError> {
+        match result {
+            Ok(()) => {
+                log::info!("daemon: stopped");
+                Ok(DaemonEnd::Clean)
+            }
+            Err(escalation) => {
+                self.log_cut("a failed part");
+                Err(escalation.into())
+            }
+        }
+    }
+
+    /// Logs the calls that a stop cuts and returns their number.
+    fn log_cut(&self, cause: &str) -> usize {
+        let calls = self.context.gate.in_flight();
+        let now = self.context.clock.now();
+        let count = calls.len();
+        log::error!("daemon: {cause} ends the process, {count} calls are cut");
+        for call in calls.iter().take(MAX_NAMED_CALLS) {
+            let age = now.since(call.since);
+            log::error!("daemon: cut after {age}: {}", call.what);
+        }
+        count
+    }
+}
+
+/// Drives both futures and ends with the first of them.
+async fn join_first<T>(
+    first: impl Future<Output = T> + Unpin,
+    second: impl Future<Output = ()>,
+) -> T {
+    pin_mut!(second);
+    match select(first, second).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), first)) => first.await,
+    }
+}
+
+/// Waits for a signal; for ever if none can come any more.
+async fn next_signal(signals: &mut mpsc::Receiver<StopSignal>) {
+    if signals.recv().await.is_none() {
+        futures::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/http_server.rs
@@ -0,0 +1,220 @@
+//! An HTTP server with limits and a graceful stop.
+
+mod answer;
+mod body;
+mod connection;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use hyper_util::server::graceful::GracefulShutdown;
+use pimentochute_base::MilliClock;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use viz::{Router, Tree};
+
+use crate::drain::DrainGate;
+use crate::metrics::Metrics;
+use crate::settings::HttpSettings;
+use crate::supervisor::{ChildError, ChildSpec};
+
+pub(crate) use answer::{OUTCOME, json_answer, refusal_answer, text_answer};
+pub(crate) use body::BodyReader;
+use connection::{ConnectionFront, serve_connection};
+
+/// The wait after a failed accept, for example without free descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+
+/// The connections over the limit that are answered with a refusal at once;
+/// further ones wait in the backlog of the listener.
+const REFUSING_CONNECTIONS: usize = 64;
+
+/// The pause in arrivals after which the backlog counts as empty.
+const BACKLOG_PAUSE: Duration = Duration::from_millis(20);
+
+/// The most time for emptying the backlog when callers keep arriving.
+const BACKLOG_TIME: Duration = Duration::from_secs(1);
+
+/// An HTTP server on one listener.
+#[derive(Clone)]
+pub struct HttpServer {
+    name: &'static str,
+    address: SocketAddr,
+    /// Empty once the server has stopped; the listener is closed then.
+    listener: Arc<Mutex<Option<Arc<TcpListener>>>>,
+    limits: HttpSettings,
+    context: ServerContext,
+    finished: CancellationToken,
+}
+
+/// What the servers of a daemon share.
+#[derive(Clone)]
+pub struct ServerContext {
+    /// The clock.
+    pub clock: MilliClock,
+    /// The stopping state and the calls in flight.
+    pub gate: Arc<DrainGate>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+impl HttpServer {
+    /// Binds a listener; connections wait until the server runs.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be used.
+    pub async fn bind(
+        name: &'static str,
+        address: SocketAddr,
+        limits: HttpSettings,
+        context: ServerContext,
+    ) -> Result<Self, BindError> {
+        let wrap = |source| BindError {
+            name,
+            address,
+            source,
+        };
+        let listener = TcpListener::bind(address).await.map_err(wrap)?;
+        Ok(Self {
+            name,
+            address: listener.local_addr().map_err(wrap)?,
+            listener: Arc::new(Mutex::new(Some(Arc::new(listener)))),
+            limits,
+            context,
+            finished: CancellationToken::new(),
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the listener is closed and every accepted call has its
+    /// answer.
+    pub async fn finished(&self) {
+        self.finished.cancelled().await;
+    }
+
+    /// Returns the supervised child that serves `router` until `close` is
+    /// cancelled. The child ends when every accepted request has its answer.
+    #[must_use]
+    pub fn child(&self, router: Router, close: CancellationToken) -> ChildSpec {
+        let server = self.clone();
+        let tree = Arc::new(Tree::from(router));
+        let child = ChildSpec::new(self.name, move |stop| {
+            let server = server.clone();
+            let tree = Arc::clone(&tree);
+            async move { server.serve(tree, stop).await.map_err(ChildError::new) }
+        });
+        child.with_stop(close)
+    }
+
+    async fn serve(self, tree: Arc<Tree>, close: CancellationToken) -> Result<(), ServeError> {
+        let listener = self.listener().ok_or(ServeError { name: self.name })?;
+        log::info!("http: {} listens on {}", self.name, self.address);
+        let mut run = ServerRun::new(&self, tree, close.clone());
+        loop {
+            tokio::select! {
+                () = close.cancelled() => break,
+                accepted = listener.accept() => run.admit(accepted).await,
+            }
+        }
+        let _ = timeout(BACKLOG_TIME, run.admit_backlog(&listener)).await;
+        drop(listener);
+        self.listener
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        log::info!("http: {} closed its listener", self.name);
+        run.graceful.shutdown().await;
+        self.finished.cancel();
+        Ok(())
+    }
+
+    fn listener(&self) -> Option<Arc<TcpListener>> {
+        let slot = self.listener.lock();
+        slot.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// One run of a server: its connections and their limits.
+struct ServerRun {
+    name: &'static str,
+    front: ConnectionFront,
+    open: Arc<Semaphore>,
+    refusing: Arc<Semaphore>,
+    graceful: GracefulShutdown,
+    close: CancellationToken,
+}
+
+impl ServerRun {
+    fn new(server: &HttpServer, tree: Arc<Tree>, close: CancellationToken) -> Self {
+        let most = usize::try_from(server.limits.max_connections).unwrap_or(usize::MAX);
+        Self {
+            name: server.name,
+            front: ConnectionFront::new(server.name, tree, server.limits, server.context.clone()),
+            open: Arc::new(Semaphore::new(most.min(Semaphore::MAX_PERMITS))),
+            refusing: Arc::new(Semaphore::new(REFUSING_CONNECTIONS)),
+            graceful: GracefulShutdown::new(),
+            close,
+        }
+    }
+
+    /// Admits the connections that were established before the listener
+    /// closes; closing it would reset them.
+    async fn admit_backlog(&mut self, listener: &TcpListener) {
+        while let Ok(accepted) = timeout(BACKLOG_PAUSE, listener.accept()).await {
+            self.admit(accepted).await;
+        }
+    }
+
+    async fn admit(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        let (stream, remote) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("http: {} cannot accept a connection: {error}", self.name);
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                return;
+            }
+        };
+        let (permit, refuses) = tokio::select! {
+            biased;
+            permit = Arc::clone(&self.open).acquire_owned() => (permit, false),
+            permit = Arc::clone(&self.refusing).acquire_owned() => (permit, true),
+        };
+        let mut front = self.front.clone();
+        if refuses {
+            front = front.refusing();
+        }
+        let watcher = self.graceful.watcher();
+        let close = self.close.clone();
+        tokio::spawn(async move {
+            serve_connection(front, stream, remote, watcher, close).await;
+            drop(permit);
+        });
+    }
+}
+
+/// A listener cannot be bound.
+#[derive(Debug, Display, Error)]
+#[display("the {name} listener cannot use {address}: {source}; hint: check the listen addresses")]
+pub struct BindError {
+    name: &'static str,
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A server was started again after it had closed its listener.
+#[derive(Debug, Display, Error)]
+#[display("the listener of {name} is closed")]
+struct ServeError {
+    #[error(not(source))]
+    name: &'static str,
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/http_server/answer.rs
@@ -0,0 +1,60 @@
+//! Answers in JSON and text.
+
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use serde::Serialize;
+use viz::Body;
+
+use crate::refusal::{Refusal, RefusalCode};
+
+/// Tells whether the work was answered, did not run, or may have run.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("x-outcome");
+
+/// Returns a value as JSON.
+pub(crate) fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(text) => with_type(status, text, "application/json"),
+        Err(error) => {
+            log::error!("http: an answer cannot be written as JSON: {error}");
+            let empty = Response::new(Body::empty());
+            with_status(empty, StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+/// Returns text.
+pub(crate) fn text_answer(status: StatusCode, text: String) -> Response<Body> {
+    with_type(status, text.into_bytes(), "text/plain; version=0.0.4")
+}
+
+/// Returns a refusal with the headers that go with it.
+pub(crate) fn refusal_answer(refusal: &Refusal) -> Response<Body> {
+    let mut answer = json_answer(refusal.code.status(), refusal);
+    let headers = answer.headers_mut();
+    let outcome = HeaderValue::from_static(if refusal.not_run {
+        "not_run"
+    } else {
+        "unknown"
+    });
+    headers.insert(OUTCOME, outcome);
+    if let Some(span) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER, span.as_millis().div_ceil(1_000).into());
+    }
+    if refusal.code == RefusalCode::Unauthenticated {
+        headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
+    answer
+}
+
+fn with_type(status: StatusCode, content: Vec<u8>, kind: &'static str) -> Response<Body> {
+    let mut answer = with_status(Response::new(Body::from(Full::from(content))), status);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    answer
+}
+
+fn with_status(mut answer: Response<Body>, status: StatusCode) -> Response<Body> {
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/http_server/body.rs
@@ -0,0 +1,119 @@
+//! Request bodies, read whole within limits of size, time and memory.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::{CONTENT_LENGTH, EXPECT};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Duration, timeout};
+use viz::{Body, RequestExt as _};
+
+use crate::refusal::{Refusal, RefusalCode};
+use crate::settings::HttpSettings;
+
+/// The time for reading the rest of a body that is refused. A caller that is
+/// cut off while it sends may never see the refusal.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// Reads bodies within the limits of a daemon.
+#[derive(Clone)]
+pub(crate) struct BodyReader {
+    limits: HttpSettings,
+    memory: Arc<Semaphore>,
+}
+
+/// A whole body; its memory counts until this is dropped.
+pub(crate) struct ReadBody {
+    /// The content.
+    pub(crate) content: Bytes,
+    _memory: OwnedSemaphorePermit,
+}
+
+impl BodyReader {
+    /// Creates a reader whose clones share one memory budget.
+    pub(crate) fn new(limits: HttpSettings) -> Self {
+        let memory = usize::try_from(limits.max_buffered_bytes).unwrap_or(usize::MAX);
+        Self {
+            limits,
+            memory: Arc::new(Semaphore::new(memory.min(Semaphore::MAX_PERMITS))),
+        }
+    }
+
+    /// Reads a body.
+    ///
+    /// # Errors
+    /// Refuses a body that is too large, late or cut off.
+    pub(crate) async fn read(&self, request: &mut Request<Body>) -> Result<ReadBody, Refusal> {
+        let result = self.read_now(request).await;
+        if result.is_err() {
+            self.discard(request).await;
+        }
+        result
+    }
+
+    async fn read_now(&self, request: &mut Request<Body>) -> Result<ReadBody, Refusal> {
+        let most = self.limits.max_body_bytes;
+        let announced = announced_bytes(request);
+        if announced.is_some_and(|bytes| bytes > u64::from(most)) {
+            return Err(self.too_large());
+        }
+        let bytes = announced.and_then(|bytes| u32::try_from(bytes).ok());
+        let memory = Arc::clone(&self.memory);
+        let permit = memory.try_acquire_many_owned(bytes.unwrap_or(most));
+        let memory = permit.map_err(|_| self.no_memory())?;
+        let limit = usize::try_from(most).unwrap_or(usize::MAX);
+        let Ok(body) = request.incoming() else {
+            return Ok(ReadBody {
+                content: Bytes::new(),
+                _memory: memory,
+            });
+        };
+        let read = Limited::new(body, limit).collect();
+        match timeout(self.limits.body_timeout_ms.as_duration(), read).await {
+            Ok(Ok(content)) => Ok(ReadBody {
+                content: content.to_bytes(),
+                _memory: memory,
+            }),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(self.too_large()),
+            Ok(Err(_)) => Err(Refusal::invalid("the body is cut off", "send it whole")),
+            Err(_) => Err(self.too_late()),
+        }
+    }
+
+    /// Reads and drops a refused body for a short time.
+    pub(crate) async fn discard(&self, request: &mut Request<Body>) {
+        if request.headers().contains_key(EXPECT) {
+            return;
+        }
+        let Ok(mut body) = request.incoming() else {
+            return;
+        };
+        let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+        let _ = timeout(DISCARD_TIME, rest).await;
+    }
+
+    fn too_large(&self) -> Refusal {
+        let most = self.limits.max_body_bytes;
+        let error = format!("the body is larger than {most} bytes");
+        Refusal::new(RefusalCode::TooLarge, error, "send a smaller body")
+    }
+
+    fn no_memory(&self) -> Refusal {
+        let error = "too many request bodies are held at once";
+        Refusal::new(RefusalCode::Overloaded, error, "try again later")
+            .with_retry_after(self.limits.retry_after_ms)
+    }
+
+    fn too_late(&self) -> Refusal {
+        let limit = self.limits.body_timeout_ms;
+        let error = format!("the body did not arrive within {limit}");
+        Refusal::invalid(error, "send the body without pauses")
+    }
+}
+
+fn announced_bytes(request: &Request<Body>) -> Option<u64> {
+    let value = request.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
--- a/crates/pimentochute-server/src/lib.rs
+++ b/crates/pimentochute-server/src/lib.rs
@@ -1,19 +1,44 @@
 //! The daemon of an entry host.
 
+mod admission;
 pub mod api;
+mod assembly;
 mod control;
+mod daemon;
+mod drain;
+mod heartbeat_loop;
+mod http_server;
 mod logging;
 mod metrics;
 mod peer;
+mod peer_client;
+mod peer_server;
 mod peer_table;
+mod peer_wire;
+mod public;
+mod refusal;
 pub mod settings;
 mod supervisor;
 
+pub use admission::{AdmissionCheck, AdmittedWork, CallerIdentity};
+pub use assembly::{DaemonContext, assemble};
 pub use control::{ControlPlane, SubmitError};
+pub use daemon::{Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run};
+pub use drain::{DrainGate, FlightGuard, FlightInfo};
+pub use heartbeat_loop::HeartbeatLoop;
+pub use http_server::{BindError, HttpServer, ServerContext};
 pub use logging::{LoggingError, log_dispatch, start_logging};
 pub use metrics::{Metrics, MetricsError};
 pub use peer::{ConfigEvidence, Heartbeat, PeerError, PeerLink, PeerStatus, ServiceLoad};
+pub use peer_client::PeerClient;
+pub use peer_server::{HeartbeatSource, PeerParts, peer_router};
 pub use peer_table::{BeatFault, PeerTable};
+pub use peer_wire::{
+    AppendMessage, EmptyMessage, ForwardResult, PEER_VERSION, PeerCodecError, PeerRefusal,
+    PeerRefusalCode, decode_peer, encode_peer,
+};
+pub use public::{EndpointList, PublicParts, public_router};
+pub use refusal::{Refusal, RefusalCode};
 pub use supervisor::{ChildError, ChildFuture, ChildSpec, Escalation, Supervisor};
 /// The token that asks the parts of the daemon to stop.
 pub use tokio_util::sync::CancellationToken;
--- /dev/null
+++ b/crates/pimentochute-server/src/peer_client.rs
@@ -0,0 +1,220 @@
+//! Calls to other entry hosts.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use pimentochute_base::{HostName, MilliClock, MilliSpan, ServiceName};
+use pimentochute_route::{PeerForward, PeerLoad, RouteError, RoutedAnswer, RoutedRequest};
+use pimentochute_state::{CellConfig, StampedRecord};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{Duration, timeout};
+
+use crate::metrics::Metrics;
+use crate::peer_wire::{
+    AppendMessage, EmptyMessage, ForwardResult, PEER_MEDIA_TYPE, PeerRefusal, PeerRefusalCode,
+    decode_peer, encode_peer,
+};
+use crate::settings::{SecretText, Settings};
+use crate::{Heartbeat, PeerError, PeerLink, PeerTable};
+
+/// The idle time after which a connection is closed. A connection that stopped
+/// responding while idle would cost a call its time limit.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
+/// The time after a forwarded request's deadline in which its answer may still
+/// arrive.
+const FORWARD_GRACE: MilliSpan = MilliSpan::new(500);
+
+/// Calls other entry hosts by HTTP.
+pub struct PeerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    settings: Arc<Settings>,
+    key: SecretText,
+    table: Arc<PeerTable>,
+    clock: MilliClock,
+    metrics: Arc<Metrics>,
+}
+
+impl PeerClient {
+    /// Creates a client without connections.
+    #[must_use]
+    pub fn new(
+        settings: Arc<Settings>,
+        table: Arc<PeerTable>,
+        clock: MilliClock,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.peers.call_timeout_ms.as_duration()));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .build(connector);
+        Self {
+            client,
+            key: settings.peer_key.clone(),
+            settings,
+            table,
+            clock,
+            metrics,
+        }
+    }
+
+    /// Calls a page of another host within a time limit.
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        host: &HostName,
+        page: &'static str,
+        message: &Q,
+        limit: MilliSpan,
+    ) -> Result<A, PeerError> {
+        let exchange = self.exchange(host, page, message);
+        let result = match timeout(limit.as_duration(), exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(unknown(host, &format!("no answer within {limit}"))),
+        };
+        self.metrics.peer_called(page, result.is_ok());
+        result
+    }
+
+    async fn exchange<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        host: &HostName,
+        page: &'static str,
+        message: &Q,
+    ) -> Result<A, PeerError> {
+        let request = self.request(host, page, message)?;
+        let answer = self.client.request(request).await;
+        let answer = answer.map_err(|error| {
+            if error.is_connect() {
+                unreachable_host(host, &error)
+            } else {
+                unknown(host, &error)
+            }
+        })?;
+        let status = answer.status();
+        let limit = usize::try_from(self.settings.http.for_peers().max_body_bytes);
+        let body = Limited::new(answer.into_body(), limit.unwrap_or(usize::MAX));
+        let body = body.collect().await.map_err(|e| unknown(host, &e))?;
+        let body = body.to_bytes();
+        if status == StatusCode::OK {
+            return decode_peer(&body).map_err(|error| unknown(host, &error));
+        }
+        let refusal: PeerRefusal = decode_peer(&body)
+            .map_err(|error| unknown(host, &format!("status {status}: {error}")))?;
+        Err(refused(host, &refusal))
+    }
+
+    fn request<Q: Serialize>(
+        &self,
+        host: &HostName,
+        page: &'static str,
+        message: &Q,
+    ) -> Result<Request<Full<Bytes>>, PeerError> {
+        let entry = self.settings.entry_host(host);
+        let entry = entry.ok_or_else(|| unreachable_host(host, &"it is not in the settings"))?;
+        let body = encode_peer(message).map_err(|error| unreachable_host(host, &error))?;
+        let bearer = format!("Bearer {}", self.key.reveal());
+        let mut bearer =
+            HeaderValue::from_str(&bearer).map_err(|error| unreachable_host(host, &error))?;
+        bearer.set_sensitive(true);
+        Request::post(format!("http://{}/peer/{page}", entry.peer))
+            .header(AUTHORIZATION, bearer)
+            .header(CONTENT_TYPE, PEER_MEDIA_TYPE)
+            .body(Full::new(body))
+            .map_err(|error| unreachable_host(host, &error))
+    }
+
+    fn call_limit(&self) -> MilliSpan {
+        self.settings.peers.call_timeout_ms
+    }
+}
+
+impl PeerLink for PeerClient {
+    fn heartbeat<'a>(
+        &'a self,
+        host: &'a HostName,
+        beat: Heartbeat,
+    ) -> BoxFuture<'a, Result<Heartbeat, PeerError>> {
+        Box::pin(async move { self.call(host, "heartbeat", &beat, self.call_limit()).await })
+    }
+
+    fn append<'a>(
+        &'a self,
+        host: &'a HostName,
+        records: Vec<StampedRecord>,
+    ) -> BoxFuture<'a, Result<(), PeerError>> {
+        Box::pin(async move {
+            let message = AppendMessage { records };
+            // The other host waits for the log before it answers.
+            let limit = self.call_limit() + self.settings.log.call_timeout_ms;
+            let answer: Result<EmptyMessage, _> = self.call(host, "append", &message, limit).await;
+            answer.map(|_| ())
+        })
+    }
+
+    fn config<'a>(&'a self, host: &'a HostName) -> BoxFuture<'a, Result<CellConfig, PeerError>> {
+        Box::pin(async move {
+            let message = EmptyMessage {};
+            self.call(host, "config", &message, self.call_limit()).await
+        })
+    }
+}
+
+impl PeerForward for PeerClient {
+    fn loads(&self, service: &ServiceName) -> Vec<PeerLoad> {
+        self.table.loads(service, self.clock.now())
+    }
+
+    fn forward<'a>(
+        &'a self,
+        host: &'a HostName,
+        request: RoutedRequest,
+    ) -> BoxFuture<'a, Result<RoutedAnswer, RouteError>> {
+        Box::pin(async move {
+            let limit = request.deadline + FORWARD_GRACE;
+            match self.call(host, "forward", &request, limit).await {
+                Ok(ForwardResult::Answered(answer)) => Ok(answer),
+                Ok(ForwardResult::Failed(error)) => Err(error),
+                Err(PeerError::OutcomeUnknown { .. }) => Err(RouteError::OutcomeUnknown),
+                Err(PeerError::Unreachable { .. } | PeerError::Refused { .. }) => {
+                    Err(RouteError::PeerUnreachable)
+                }
+            }
+        })
+    }
+}
+
+/// A refusal whose outcome is open is not reported as a refusal.
+fn refused(host: &HostName, refusal: &PeerRefusal) -> PeerError {
+    if refusal.code == PeerRefusalCode::OutcomeUnknown {
+        return unknown(host, refusal);
+    }
+    PeerError::Refused {
+        host: host.clone(),
+        detail: refusal.to_string(),
+    }
+}
+
+fn unknown(host: &HostName, detail: &dyn ToString) -> PeerError {
+    PeerError::OutcomeUnknown {
+        host: host.clone(),
+        detail: detail.to_string(),
+    }
+}
+
+fn unreachable_host(host: &HostName, detail: &dyn ToString) -> PeerError {
+    PeerError::Unreachable {
+        host: host.clone(),
+        detail: detail.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/peer_server.rs
@@ -0,0 +1,178 @@
+//! The pages for other entry hosts.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::{BoxFuture, ready};
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use pimentochute_base::KeyDigest;
+use pimentochute_platform::AppendError;
+use pimentochute_route::{RequestOrigin, RequestRoute, RoutedRequest};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use viz::{Body, Router};
+
+use crate::admission::bearer_secret;
+use crate::http_server::{BodyReader, ServerContext};
+use crate::peer_wire::{
+    AppendMessage, EmptyMessage, ForwardResult, PEER_MEDIA_TYPE, PeerRefusal, PeerRefusalCode,
+    decode_peer, encode_peer,
+};
+use crate::settings::Settings;
+use crate::{ControlPlane, Heartbeat, PeerTable};
+
+/// Makes the heartbeats of this host.
+pub trait HeartbeatSource: Send + Sync {
+    /// Returns the present state of this host.
+    fn beat(&self) -> Heartbeat;
+}
+
+/// What the peer pages need.
+#[derive(Clone)]
+pub struct PeerParts {
+    /// The log-ordered state.
+    pub control: Arc<dyn ControlPlane>,
+    /// The router.
+    pub route: Arc<dyn RequestRoute>,
+    /// The heartbeats of this host.
+    pub beats: Arc<dyn HeartbeatSource>,
+    /// The heartbeats of the others.
+    pub table: Arc<PeerTable>,
+}
+
+struct PeerPages {
+    key: KeyDigest,
+    parts: PeerParts,
+    context: ServerContext,
+    bodies: BodyReader,
+}
+
+type PeerFuture<'a> = BoxFuture<'a, Result<Bytes, PeerRefusal>>;
+
+/// A page: takes the body of the call and returns that of the answer.
+type PeerPage = for<'a> fn(&'a PeerPages, Bytes) -> PeerFuture<'a>;
+
+/// Returns the router of the peer listener.
+#[must_use]
+pub fn peer_router(settings: &Settings, parts: PeerParts, context: ServerContext) -> Router {
+    let pages = Arc::new(PeerPages {
+        key: KeyDigest::of(settings.peer_key.reveal()),
+        parts,
+        context,
+        bodies: BodyReader::new(settings.http.for_peers()),
+    });
+    let page = |page: PeerPage| {
+        let pages = Arc::clone(&pages);
+        move |request: Request<Body>| answer(Arc::clone(&pages), page, request)
+    };
+    Router::new()
+        .post(
+            "/peer/heartbeat",
+            page(|p, b| Box::pin(ready(p.heartbeat(&b)))),
+        )
+        .post("/peer/append", page(|p, b| Box::pin(p.append(b))))
+        .post("/peer/config", page(|p, b| Box::pin(ready(p.config(&b)))))
+        .post("/peer/forward", page(|p, b| Box::pin(p.forward(b))))
+}
+
+async fn answer(
+    pages: Arc<PeerPages>,
+    page: PeerPage,
+    mut request: Request<Body>,
+) -> viz::Result<Response<Body>> {
+    let (status, bytes) = match pages.call(page, &mut request).await {
+        Ok(bytes) => (StatusCode::OK, bytes),
+        Err(refusal) => {
+            log::debug!("peer: refused a call: {refusal}");
+            let bytes = encode_peer(&refusal).unwrap_or_default();
+            (status_of(refusal.code), bytes)
+        }
+    };
+    let mut answer = Response::new(Body::from(Full::new(bytes)));
+    *answer.status_mut() = status;
+    let kind = HeaderValue::from_static(PEER_MEDIA_TYPE);
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(answer)
+}
+
+const fn status_of(code: PeerRefusalCode) -> StatusCode {
+    match code {
+        PeerRefusalCode::Unauthenticated => StatusCode::UNAUTHORIZED,
+        PeerRefusalCode::Malformed => StatusCode::BAD_REQUEST,
+        PeerRefusalCode::UnknownHost => StatusCode::FORBIDDEN,
+        PeerRefusalCode::NotAppended => StatusCode::SERVICE_UNAVAILABLE,
+        PeerRefusalCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+    }
+}
+
+impl PeerPages {
+    async fn call(
+        &self,
+        page: PeerPage,
+        request: &mut Request<Body>,
+    ) -> Result<Bytes, PeerRefusal> {
+        if !self.has_key(request) {
+            let detail = "the peer key is missing or wrong; hint: give every host the same one";
+            return Err(refusal(PeerRefusalCode::Unauthenticated, &detail));
+        }
+        let body = self.bodies.read(request).await;
+        let body = body.map_err(|error| refusal(PeerRefusalCode::Malformed, &error))?;
+        page(self, body.content.clone()).await
+    }
+
+    fn has_key(&self, request: &Request<Body>) -> bool {
+        let secret = bearer_secret(request.headers()).ok().flatten();
+        secret.is_some_and(|secret| KeyDigest::of(secret).matches(&self.key))
+    }
+
+    fn heartbeat(&self, body: &Bytes) -> Result<Bytes, PeerRefusal> {
+        let beat: Heartbeat = decode(body)?;
+        let taken = self.parts.table.record(beat, self.context.clock.now());
+        taken.map_err(|error| refusal(PeerRefusalCode::UnknownHost, &error))?;
+        encode(&self.parts.beats.beat())
+    }
+
+    async fn append(&self, body: Bytes) -> Result<Bytes, PeerRefusal> {
+        let message: AppendMessage = decode(&body)?;
+        match self.parts.control.append_for_peer(message.records).await {
+            Ok(()) => encode(&EmptyMessage {}),
+            Err(error @ AppendError::NotAppended { .. }) => {
+                Err(refusal(PeerRefusalCode::NotAppended, &error))
+            }
+            Err(error @ AppendError::OutcomeUnknown { .. }) => {
+                Err(refusal(PeerRefusalCode::OutcomeUnknown, &error))
+            }
+        }
+    }
+
+    fn config(&self, body: &Bytes) -> Result<Bytes, PeerRefusal> {
+        let _: EmptyMessage = decode(body)?;
+        encode(&*self.parts.control.config())
+    }
+
+    async fn forward(&self, body: Bytes) -> Result<Bytes, PeerRefusal> {
+        let mut request: RoutedRequest = decode(&body)?;
+        request.origin = RequestOrigin::Peer;
+        let result = match self.parts.route.route(request).await {
+            Ok(answer) => ForwardResult::Answered(answer),
+            Err(error) => ForwardResult::Failed(error),
+        };
+        encode(&result)
+    }
+}
+
+fn refusal(code: PeerRefusalCode, detail: &dyn ToString) -> PeerRefusal {
+    let detail = detail.to_string();
+    PeerRefusal { code, detail }
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, PeerRefusal> {
+    decode_peer(bytes).map_err(|error| refusal(PeerRefusalCode::Malformed, &error))
+}
+
+/// An answer that cannot be written leaves the caller without an outcome.
+fn encode<T: Serialize>(message: &T) -> Result<Bytes, PeerRefusal> {
+    encode_peer(message).map_err(|error| refusal(PeerRefusalCode::OutcomeUnknown, &error))
+}
--- a/crates/pimentochute-server/src/peer_table.rs
+++ b/crates/pimentochute-server/src/peer_table.rs
@@ -10,6 +10,9 @@
 use crate::settings::{DataCentreSettings, Settings};
 use crate::{Heartbeat, PeerStatus};
 
+/// The heartbeats that a host of another data centre may miss.
+const REMOTE_BEATS: u64 = 3;
+
 /// The last heartbeat of every entry host of the cell.
 ///
 /// Times are local monotonic times. This host always counts as live.
@@ -18,6 +21,8 @@
     own_centre: DataCentreName,
     centres: Vec<DataCentreSettings>,
     live: MilliSpan,
+    /// As `live`, for hosts of other data centres: they send less often.
+    remote_live: MilliSpan,
     started: MilliTime,
     beats: Mutex<HashMap<HostName, PeerStatus>>,
 }
@@ -31,6 +36,7 @@
             own_centre: settings.data_centre.clone(),
             centres: settings.data_centres.clone(),
             live: settings.peers.live_ms,
+            remote_live: remote_live(settings),
             started: now,
             beats: Mutex::default(),
         }
@@ -54,7 +60,8 @@
         }
         let mut beats = self.beats();
         let delayed = beats.get(&beat.host).is_some_and(|last| {
-            last.beat.incarnation > beat.incarnation && now.since(last.received) < self.live
+            let silent = now.since(last.received) >= self.live_span(&beat.data_centre);
+            last.beat.incarnation > beat.incarnation && !silent
         });
         if !delayed {
             let host = beat.host.clone();
@@ -98,8 +105,9 @@
         self.live_hosts_of(&self.own_centre, now)
     }
 
-    /// Returns the hosts of a data centre that were heard within
-    /// `peers.live_ms`, in the order of the settings.
+    /// Returns the hosts of a data centre that were heard lately, in the order
+    /// of the settings. Hosts of other data centres may be silent for three
+    /// times `peers.remote_heartbeat_ms` if that is longer.
     #[must_use]
     pub fn live_hosts_of(&self, centre: &DataCentreName, now: MilliTime) -> Vec<HostName> {
         let mut hosts = self.hosts_of(centre);
@@ -117,7 +125,7 @@
         hosts
     }
 
-    /// Tells whether a host was heard within `peers.live_ms`.
+    /// Tells whether a host was heard lately; see [`PeerTable::live_hosts_of`].
     #[must_use]
     pub fn is_live(&self, host: &HostName, now: MilliTime) -> bool {
         if *host == self.own {
@@ -125,7 +133,15 @@
         }
         let beats = self.beats();
         let status = beats.get(host);
-        status.is_some_and(|s| now.since(s.received) < self.live)
+        status.is_some_and(|s| now.since(s.received) < self.live_span(&s.beat.data_centre))
+    }
+
+    fn live_span(&self, centre: &DataCentreName) -> MilliSpan {
+        if *centre == self.own_centre {
+            self.live
+        } else {
+            self.remote_live
+        }
     }
 
     /// Returns all hosts of a data centre, in the order of the settings.
@@ -168,6 +184,12 @@
     }
 }
 
+fn remote_live(settings: &Settings) -> MilliSpan {
+    let beats = settings.peers.remote_heartbeat_ms.as_millis();
+    let live = MilliSpan::new(beats.saturating_mul(REMOTE_BEATS));
+    live.max(settings.peers.live_ms)
+}
+
 /// The reason why a heartbeat is not taken in.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum BeatFault {
--- /dev/null
+++ b/crates/pimentochute-server/src/public/config_pages.rs
@@ -0,0 +1,112 @@
+//! The configuration: versions, history and patches.
+
+use http::{Request, Response, StatusCode};
+use pimentochute_base::{ConfigVersion, PatchId};
+use pimentochute_state::ConfigPatch;
+use serde::Serialize;
+use viz::Body;
+
+use super::job_pages::query_value;
+use super::{PublicPages, decode_json};
+use crate::api::PatchView;
+use crate::http_server::json_answer;
+use crate::refusal::{Refusal, RefusalCode};
+
+/// The longest author of a patch, in bytes.
+const MAX_AUTHOR_BYTES: usize = 128;
+
+/// The most operations of a patch.
+const MAX_OPERATIONS: usize = 1_000;
+
+/// The answer to a rejected patch: a refusal with the version in force.
+#[derive(Serialize)]
+struct RejectedPatch<'a> {
+    #[serde(flatten)]
+    refusal: &'a Refusal,
+    #[serde(flatten)]
+    result: &'a PatchView,
+}
+
+impl PublicPages {
+    /// `GET /v1/config[?version=]`
+    pub(super) fn show_config(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
+        self.operator(request)?;
+        let Some(text) = query_value(request, "version")? else {
+            return Ok(json_answer(StatusCode::OK, &*self.config()));
+        };
+        let version = text.parse().map(ConfigVersion::new).map_err(|_| {
+            let error = format!("{text:?} is not a version");
+            Refusal::invalid(error, "give a number")
+        })?;
+        match self.parts.control.config_version(version) {
+            Some(config) => Ok(json_answer(StatusCode::OK, &*config)),
+            None => Err(Refusal::not_found(
+                format!("version {version} is not remembered here"),
+                "see GET /v1/config/history for the remembered patches",
+            )),
+        }
+    }
+
+    /// `GET /v1/config/history`
+    pub(super) fn show_history(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
+        self.operator(request)?;
+        let history = self.parts.control.config_history();
+        Ok(json_answer(StatusCode::OK, &history))
+    }
+
+    /// `POST /v1/config/patches`
+    pub(super) async fn take_patch(
+        &self,
+        request: &mut Request<Body>,
+    ) -> Result<Response<Body>, Refusal> {
+        let operator = self.operator(request)?;
+        let body = self.bodies.read(request).await?;
+        let patch: ConfigPatch = decode_json(&body.content)?;
+        check_patch(&patch)?;
+        let id = patch.id.clone();
+        let author = patch.author.clone();
+        let result = self.parts.control.patch(patch).await;
+        log::info!("http: patch {id} of {author} with the key of {operator}: {result:?}");
+        match result {
+            Ok(view @ PatchView::Accepted { .. }) => Ok(json_answer(StatusCode::OK, &view)),
+            Ok(view) => Ok(self.rejected(&id, &view)),
+            Err(error) => {
+                let retry_after = self.settings.http.retry_after_ms;
+                Err(Refusal::of_submit(&error, retry_after))
+            }
+        }
+    }
+
+    fn rejected(&self, id: &PatchId, view: &PatchView) -> Response<Body> {
+        let error = match view {
+            PatchView::Rejected { current, reason } => {
+                format!("patch {id} is rejected, version {current} is in force: {reason}")
+            }
+            PatchView::Accepted { .. } => String::new(),
+        };
+        let hint = "read the version in force and make the patch again with a new id";
+        let refusal = Refusal::new(RefusalCode::Conflict, error, hint);
+        self.context.metrics.refused(refusal.code.as_str());
+        let refusal = &refusal;
+        let rejected = RejectedPatch {
+            refusal,
+            result: view,
+        };
+        json_answer(RefusalCode::Conflict.status(), &rejected)
+    }
+}
+
+fn check_patch(patch: &ConfigPatch) -> Result<(), Refusal> {
+    let author = &patch.author;
+    if author.trim().is_empty() || author.len() > MAX_AUTHOR_BYTES {
+        let hint = format!("name the author in 1 to {MAX_AUTHOR_BYTES} bytes");
+        return Err(Refusal::invalid("the patch has no usable author", hint));
+    }
+    let count = patch.operations.len();
+    if count == 0 || count > MAX_OPERATIONS {
+        let error = format!("the patch has {count} operations");
+        let hint = format!("give 1 to {MAX_OPERATIONS}");
+        return Err(Refusal::invalid(error, hint));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pimentochute-server/src/public/host_pages.rs
@@ -0,0 +1,73 @@
+//! The state of this host: operator pages, probes and metrics.
+
+use http::{Request, Response, StatusCode};
+use pimentochute_base::ConfigVersion;
+use viz::Body;
+
+use super::PublicPages;
+use crate::http_server::{json_answer, text_answer};
+use crate::refusal::Refusal;
+
+impl PublicPages {
+    /// `GET /v1/status`
+    pub(super) fn show_status(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
+        self.operator(request)?;
+        let mut status = self.parts.control.status();
+        status.draining |= self.context.gate.is_draining();
+        Ok(json_answer(StatusCode::OK, &status))
+    }
+
+    /// `GET /v1/workers`
+    pub(super) fn show_workers(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
+        self.operator(request)?;
+        Ok(json_answer(StatusCode::OK, &self.parts.control.workers()))
+    }
+
+    /// `GET /v1/endpoints`
+    pub(super) fn show_endpoints(
+        &self,
+        request: &Request<Body>,
+    ) -> Result<Response<Body>, Refusal> {
+        self.operator(request)?;
+        let endpoints = self.parts.endpoints.endpoints();
+        Ok(json_answer(StatusCode::OK, &endpoints))
+    }
+
+    /// `GET /readyz`
+    ///
+    /// A host that knows no configuration yet would refuse every queue, so it
+    /// is not ready until it has read one or knows that there is none.
+    pub(super) fn readiness(&self) -> Response<Body> {
+        let control = &self.parts.control;
+        let knows_config =
+            control.config().version > ConfigVersion::new(0) || control.takes_keyed_work();
+        let (status, text) = if self.context.gate.is_draining() {
+            (StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+        } else if knows_config {
+            (StatusCode::OK, "ready\n")
+        } else {
+            (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration read yet\n",
+            )
+        };
+        text_answer(status, text.to_owned())
+    }
+
+    /// `GET /metrics`
+    pub(super) fn metrics(&self) -> Response<Body> {
+        match self.context.metrics.text() {
+            Ok(text) => text_answer(StatusCode::OK, text),
+            Err(error) => {
+                log::error!("http: {error}");
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                text_answer(status, format!("{error}\n"))
+            }
+        }
+    }
+}
+
+/// `GET /healthz`
+pub(super) fn health() -> Response<Body> {
+    text_answer(StatusCode::OK, "ok\n".to_owned())
+}
--- a/crates/pimentochute-server/src/settings/groups.rs
+++ b/crates/pimentochute-server/src/settings/groups.rs
@@ -6,6 +6,10 @@
 
 use super::limit::limit_group;
 
+/// The most bytes of a peer message beside the body of a caller; an append
+/// batch and the configuration of 200 teams fit as well.
+const PEER_FIELDS_BYTES: u32 = 8_388_608;
+
 limit_group! {
     /// When the configuration counts as current.
     ConfigurationSettings {
@@ -162,6 +166,17 @@
     }
 }
 
+impl HttpSettings {
+    /// Returns the limits of the peer server. A message of a peer may hold a
+    /// whole body of a caller and some fields.
+    #[must_use]
+    pub const fn for_peers(mut self) -> Self {
+        self.max_body_bytes = self.max_body_bytes.saturating_add(PEER_FIELDS_BYTES);
+        self.max_buffered_bytes = self.max_buffered_bytes.saturating_add(PEER_FIELDS_BYTES);
+        self
+    }
+}
+
 limit_group! {
     /// The planned stop.
     DrainSettings {
--- a/crates/pimentochute-server/src/supervisor.rs
+++ b/crates/pimentochute-server/src/supervisor.rs
@@ -8,12 +8,16 @@
 use futures::future::BoxFuture;
 use pimentochute_base::{MilliClock, MilliSpan, MilliTime};
 use tokio::task::{JoinError, JoinSet};
+use tokio::time::{Duration, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::metrics::Metrics;
 use crate::settings::SupervisorSettings;
 
+/// The time that the other children get to end after an escalation.
+const ESCALATION_TIME: Duration = Duration::from_secs(5);
+
 /// The run of a child until it ends.
 pub type ChildFuture = BoxFuture<'static, Result<(), ChildError>>;
 
@@ -118,26 +122,31 @@
     /// Dropping the future aborts them.
     ///
     /// # Errors
-    /// Fails if a child failed too often; the others were stopped.
+    /// Fails if a child failed too often; the others were stopped, or aborted
+    /// if they did not end within 5 s.
     pub async fn run(
         self,
         children: Vec<ChildSpec>,
         stop: CancellationToken,
     ) -> Result<(), Escalation> {
         let mut runs = JoinSet::new();
+        let mut tokens = vec![stop.clone()];
         for child in children {
             let own = child.stop.clone().unwrap_or_else(|| stop.clone());
+            tokens.push(own.clone());
             runs.spawn(self.clone().supervise(child, own));
         }
-        let mut outcome = Ok(());
         while let Some(joined) = runs.join_next().await {
-            if let Ok(Err(escalation)) = joined {
-                log::error!("supervisor: giving up: {escalation}");
-                stop.cancel();
-                outcome = outcome.and(Err(escalation));
-            }
+            let Ok(Err(escalation)) = joined else {
+                continue;
+            };
+            log::error!("supervisor: giving up: {escalation}");
+            tokens.iter().for_each(CancellationToken::cancel);
+            let rest = async { while runs.join_next().await.is_some() {} };
+            let _ = timeout(ESCALATION_TIME, rest).await;
+            return Err(escalation);
         }
-        outcome
+        Ok(())
     }
 
     async fn supervise(self, child: ChildSpec, stop: CancellationToken) -> Result<(), Escalation> {
--- a/tests/tests/server_support/mod.rs
+++ b/tests/tests/server_support/mod.rs
@@ -1,6 +1,9 @@
 //! Settings and fakes that the server tests share.
 #![allow(dead_code)]
 
+pub mod client;
+pub mod fakes;
+
 use pimentochute_base::{ConfigVersion, HostIncarnation, MilliSpan};
 use pimentochute_server::settings::{Settings, check_settings};
 use pimentochute_server::{ConfigEvidence, Heartbeat, ServiceLoad};
