--- a/crates/pimentochute-server/src/settings/groups.rs
+++ b/crates/pimentochute-server/src/settings/groups.rs
@@ -6,6 +6,10 @@
 
 use super::limit::limit_group;
 
+/// The most bytes of a peer message beside the body of a caller; an append
+/// batch and the configuration of 200 teams fit as well.
+const PEER_FIELDS_BYTES: u32 = 8_388_608;
+
 limit_group! {
     /// When the configuration counts as current.
     ConfigurationSettings {
@@ -128,6 +132,16 @@
     }
 }
 
+limit_group! {
+    /// Submitted jobs.
+    JobSettings {
+        /// The most tasks of a job.
+        max_tasks: u32 = 10_000, 1..=1_000_000;
+        /// The largest command of a job.
+        max_command_bytes: u32 = 16_384, 1..=1_048_576;
+    }
+}
+
 limit_group! {
     /// The HTTP servers for callers, operators and peers.
     HttpSettings {
@@ -141,8 +155,10 @@
         max_connections: u32 = 2_048, 1..=100_000;
         /// The memory that request bodies may take together.
         max_buffered_bytes: u32 = 536_870_912, 1_024..=2_147_483_648;
-        /// The time in which the head of a request has to arrive.
-        header_timeout_ms: MilliSpan = 10_000, 50..=600_000;
+        /// The time in which the head of a request has to arrive, and the idle
+        /// time after which a connection is closed; longer than that of the
+        /// load balancer, which otherwise meets closed connections.
+        header_timeout_ms: MilliSpan = 75_000, 50..=600_000;
         /// The time in which the body of a request has to arrive.
         body_timeout_ms: MilliSpan = 30_000, 50..=600_000;
         /// The wait that a refused caller is told.
@@ -150,6 +166,17 @@
     }
 }
 
+impl HttpSettings {
+    /// Returns the limits of the peer server. A message of a peer may hold a
+    /// whole body of a caller and some fields.
+    #[must_use]
+    pub const fn for_peers(mut self) -> Self {
+        self.max_body_bytes = self.max_body_bytes.saturating_add(PEER_FIELDS_BYTES);
+        self.max_buffered_bytes = self.max_buffered_bytes.saturating_add(PEER_FIELDS_BYTES);
+        self
+    }
+}
+
 limit_group! {
     /// The planned stop.
     DrainSettings {
