--- /dev/null
+++ b/crates/pimentochute-platform/src/http_client.rs
@@ -0,0 +1,221 @@
+//! HTTP calls to the outside systems, with bounded time and answer size.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::uri::Authority;
+use http::{Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use pimentochute_base::MilliSpan;
+
+/// The header by which a service states that it did not run a request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// The longest wait for a connection. Data centres are a few milliseconds
+/// apart, so that a slower one is down.
+const CONNECT_TIMEOUT: MilliSpan = MilliSpan::new(1_000);
+
+/// The time after which an idle connection is closed; longer than the time
+/// between two renewals, so that these share a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The most idle connections per address. Few, because after an outage each
+/// of them may be silent and cost one call its timeout.
+const MAX_IDLE: usize = 2;
+
+/// The statuses by which a service refuses a request before any effect.
+const REFUSALS: [StatusCode; 8] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::UNAUTHORIZED,
+    StatusCode::FORBIDDEN,
+    StatusCode::NOT_FOUND,
+    StatusCode::METHOD_NOT_ALLOWED,
+    StatusCode::PAYLOAD_TOO_LARGE,
+    StatusCode::UNSUPPORTED_MEDIA_TYPE,
+    StatusCode::TOO_MANY_REQUESTS,
+];
+
+/// A client with pooled connections. A connection whose answer did not arrive
+/// in time or in whole is closed.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: MilliSpan,
+    /// The largest accepted answer, in bytes.
+    max_answer: usize,
+}
+
+/// A call that is ready to be sent.
+#[derive(Debug)]
+pub(crate) struct HttpCall {
+    pub(crate) method: Method,
+    /// The path and query.
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
+    /// How long the service may wait by itself before it answers.
+    pub(crate) wait: MilliSpan,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct HttpReply {
+    pub(crate) status: StatusCode,
+    /// Whether the service states that it did not run the request.
+    pub(crate) not_run: bool,
+    pub(crate) body: Bytes,
+}
+
+/// The reason why a call has no usable answer.
+#[derive(Debug, Display, Error)]
+pub(crate) enum CallError {
+    /// The call surely has no effect.
+    #[display("{detail}")]
+    NoEffect {
+        /// What the service or the transport reported.
+        #[error(not(source))]
+        detail: String,
+    },
+    /// The call may have had an effect.
+    #[display("{detail}")]
+    OutcomeUnknown {
+        /// What the service or the transport reported.
+        #[error(not(source))]
+        detail: String,
+    },
+    /// The answer is larger than the limit; the call may have had an effect.
+    #[display("the answer has more than {limit} bytes")]
+    TooLarge {
+        /// The largest accepted answer, in bytes.
+        limit: usize,
+    },
+}
+
+impl HttpClient {
+    /// Creates a client whose calls take at most `timeout` besides their wait.
+    pub(crate) fn new(timeout: MilliSpan, max_answer: usize) -> Self {
+        let connect_timeout = CONNECT_TIMEOUT.as_duration().min(timeout.as_duration() / 2);
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(MAX_IDLE)
+            .build(connector);
+        Self {
+            client,
+            timeout,
+            max_answer,
+        }
+    }
+
+    /// Returns a client with another timeout; it shares no connections.
+    pub(crate) fn with_timeout(&self, timeout: MilliSpan) -> Self {
+        Self::new(timeout, self.max_answer)
+    }
+
+    /// Returns a client with another answer limit, in bytes.
+    pub(crate) fn with_max_answer(&self, max_answer: usize) -> Self {
+        Self {
+            max_answer,
+            ..self.clone()
+        }
+    }
+
+    /// Sends a call and reads the whole answer.
+    pub(crate) async fn call(
+        &self,
+        authority: &Authority,
+        call: HttpCall,
+    ) -> Result<HttpReply, CallError> {
+        let timeout = (self.timeout + call.wait).as_duration();
+        let request = request_of(authority, call)?;
+        // Dropping the exchange closes its connection.
+        match tokio::time::timeout(timeout, self.exchange(request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(CallError::OutcomeUnknown {
+                detail: format!(
+                    "no answer from {authority} within {} ms",
+                    timeout.as_millis()
+                ),
+            }),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, CallError> {
+        let response = self.client.request(request).await.map_err(|error| {
+            let detail = text_of(&error);
+            if error.is_connect() {
+                CallError::NoEffect { detail }
+            } else {
+                CallError::OutcomeUnknown { detail }
+            }
+        })?;
+        let status = response.status();
+        let not_run = is_not_run(&response);
+        let body = Limited::new(response.into_body(), self.max_answer);
+        let body = body.collect().await.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                let limit = self.max_answer;
+                return CallError::TooLarge { limit };
+            }
+            CallError::OutcomeUnknown {
+                detail: text_of(error.as_ref()),
+            }
+        })?;
+        Ok(HttpReply {
+            status,
+            not_run,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+impl HttpReply {
+    /// Returns the error for an answer of an unexpected status.
+    pub(crate) fn into_error(self) -> CallError {
+        let detail = format!("the service answers with status {}", self.status);
+        if self.not_run || REFUSALS.contains(&self.status) {
+            CallError::NoEffect { detail }
+        } else {
+            CallError::OutcomeUnknown { detail }
+        }
+    }
+}
+
+/// Tells whether an answer states that the request was not run.
+pub(crate) fn is_not_run(response: &Response<Incoming>) -> bool {
+    let stated = response.headers().get(NOT_RUN_HEADER);
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && stated.is_some_and(|value| value == "true")
+}
+
+/// Returns an error with its sources as one line.
+pub(crate) fn text_of(error: &dyn std::error::Error) -> String {
+    let sources = std::iter::successors(error.source(), |source| source.source());
+    sources.fold(error.to_string(), |text, source| {
+        format!("{text}: {source}")
+    })
+}
+
+fn request_of(authority: &Authority, call: HttpCall) -> Result<Request<Full<Bytes>>, CallError> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(authority.clone())
+        .path_and_query(call.path);
+    let request = uri.build().and_then(|uri| {
+        Request::builder()
+            .method(call.method)
+            .uri(uri)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+    });
+    request.map_err(|error| CallError::NoEffect {
+        detail: text_of(&error),
+    })
+}
--- /dev/null
+++ b/crates/pimentochute-platform/src/http_directory.rs
@@ -0,0 +1,77 @@
+//! The host list over HTTP.
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::uri::Authority;
+use http::{Method, StatusCode};
+use pimentochute_base::MilliSpan;
+
+use crate::http_client::{HttpCall, HttpClient};
+use crate::wire::decode_hosts;
+use crate::{DirectoryError, HostDirectory, HostEntry};
+
+/// The default time for a call; the list is polled every second.
+const DIRECTORY_TIMEOUT: MilliSpan = MilliSpan::new(2_000);
+
+/// The default largest answer in bytes: 2,700 workers of about 250 bytes each
+/// need under 1 MiB.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+
+/// A client of the platform's host list.
+#[derive(Debug, Clone)]
+pub struct HttpDirectory {
+    client: HttpClient,
+    authority: Authority,
+}
+
+impl HttpDirectory {
+    /// Creates a client of the list at `authority` (host and port).
+    #[must_use]
+    pub fn new(authority: Authority) -> Self {
+        Self {
+            client: HttpClient::new(DIRECTORY_TIMEOUT, MAX_ANSWER),
+            authority,
+        }
+    }
+
+    /// Sets the longest time for a call.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: MilliSpan) -> Self {
+        self.client = self.client.with_timeout(timeout);
+        self
+    }
+
+    /// Sets the largest accepted answer in bytes.
+    #[must_use]
+    pub fn with_max_answer(mut self, max_answer: usize) -> Self {
+        self.client = self.client.with_max_answer(max_answer);
+        self
+    }
+
+    async fn read_hosts(&self) -> Result<Vec<HostEntry>, DirectoryError> {
+        let call = HttpCall {
+            method: Method::GET,
+            path: "/v1/hosts".to_owned(),
+            body: Bytes::new(),
+            wait: MilliSpan::ZERO,
+        };
+        let reply = self.client.call(&self.authority, call).await;
+        let reply = reply.map_err(|error| failed(&error))?;
+        if reply.status != StatusCode::OK {
+            return Err(failed(&reply.into_error()));
+        }
+        decode_hosts(&reply.body).map_err(|error| failed(&error))
+    }
+}
+
+impl HostDirectory for HttpDirectory {
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<HostEntry>, DirectoryError>> {
+        Box::pin(self.read_hosts())
+    }
+}
+
+fn failed(error: &dyn std::error::Error) -> DirectoryError {
+    DirectoryError {
+        detail: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-platform/src/http_endpoint.rs
@@ -0,0 +1,297 @@
+//! Endpoints over HTTP, one connection per [`EndpointConnection`].
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use pimentochute_base::MilliSpan;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::http_client::{is_not_run, text_of};
+use crate::{
+    ConnectError, DispatchError, EndpointAnswer, EndpointConnection, EndpointDialer,
+    EndpointRequest, ProbeError,
+};
+
+/// The header that names the request, in the request and in its answer.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// The header that states whether a request may run more than once.
+pub const IDEMPOTENT_HEADER: &str = "x-idempotent";
+
+/// The header with the time left to the caller's deadline, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// The request id of probes.
+const PROBE_ID: &str = "probe";
+
+/// The default largest answer, in bytes.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Opens HTTP/1.1 connections to endpoints.
+#[derive(Debug, Clone)]
+pub struct HttpEndpointDialer {
+    max_answer: usize,
+}
+
+impl HttpEndpointDialer {
+    /// Creates a dialer.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            max_answer: MAX_ANSWER,
+        }
+    }
+
+    /// Sets the largest accepted answer in bytes.
+    #[must_use]
+    pub fn with_max_answer(mut self, max_answer: usize) -> Self {
+        self.max_answer = max_answer;
+        self
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<HttpConnection, ConnectError> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| failed(&error))?;
+        stream.set_nodelay(true).map_err(|error| failed(&error))?;
+        let host = HeaderValue::from_str(&address.to_string()).map_err(|error| failed(&error))?;
+        let shaken = handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|error| failed(&error))?;
+        let driver = tokio::spawn(async move {
+            // An error of the connection reaches the request that waits on it.
+            let _ = connection.await;
+        });
+        Ok(HttpConnection {
+            sender,
+            driver,
+            host,
+            usable: true,
+            max_answer: self.max_answer,
+        })
+    }
+}
+
+impl Default for HttpEndpointDialer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl EndpointDialer for HttpEndpointDialer {
+    fn connect(
+        &self,
+        address: SocketAddr,
+        timeout: MilliSpan,
+    ) -> BoxFuture<'_, Result<Box<dyn EndpointConnection>, ConnectError>> {
+        Box::pin(async move {
+            let open = tokio::time::timeout(timeout.as_duration(), self.open(address));
+            let connection = open.await.map_err(|_| ConnectError {
+                detail: format!("no connection to {address} within {timeout}"),
+            })??;
+            Ok(Box::new(connection) as Box<dyn EndpointConnection>)
+        })
+    }
+}
+
+/// A connection that carries one request at a time.
+struct HttpConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Moves the bytes; aborting it closes the connection.
+    driver: JoinHandle<()>,
+    host: HeaderValue,
+    /// False from the start of an exchange until its whole answer, so that an
+    /// error or a dropped future leaves it false.
+    usable: bool,
+    max_answer: usize,
+}
+
+impl HttpConnection {
+    /// Sends a request and reads the whole answer; sets `sent` before the
+    /// first byte can leave.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        echo: &RequestEcho,
+        sent: &mut bool,
+    ) -> Result<EndpointAnswer, DispatchError> {
+        self.sender
+            .ready()
+            .await
+            .map_err(|error| not_sent(&error))?;
+        *sent = true;
+        let response = self.sender.try_send_request(request).await;
+        let response = response.map_err(|mut error| match error.take_message() {
+            Some(_) => not_sent(error.error()),
+            None => unknown(error.error()),
+        })?;
+        if !echo.matches(&response) {
+            return Err(DispatchError::Mismatch);
+        }
+        check_framing(&response)?;
+        let status = response.status().as_u16();
+        let not_run = is_not_run(&response);
+        let body = Limited::new(response.into_body(), self.max_answer);
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| unknown(error.as_ref()))?;
+        Ok(EndpointAnswer {
+            status,
+            not_run,
+            body: body.to_bytes(),
+        })
+    }
+
+    async fn exchange_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        echo: &RequestEcho,
+        timeout: MilliSpan,
+    ) -> Result<EndpointAnswer, DispatchError> {
+        if !self.usable {
+            return Err(DispatchError::NotSent {
+                detail: "the connection was given up".to_owned(),
+            });
+        }
+        self.usable = false;
+        let mut sent = false;
+        let exchange = self.exchange(request, echo, &mut sent);
+        let answer = tokio::time::timeout(timeout.as_duration(), exchange).await;
+        let answer = answer.unwrap_or_else(|_| Err(late(sent, timeout)));
+        self.usable = answer.is_ok();
+        if !self.usable {
+            self.driver.abort();
+        }
+        answer
+    }
+
+    fn request_of(&self, request: EndpointRequest) -> Result<Request<Full<Bytes>>, http::Error> {
+        Request::builder()
+            .method(Method::POST)
+            .uri("/v1/requests")
+            .header(header::HOST, &self.host)
+            .header(REQUEST_ID_HEADER, request.id)
+            .header(IDEMPOTENT_HEADER, request.idempotent.to_string())
+            .header(DEADLINE_HEADER, request.deadline.as_millis())
+            .body(Full::new(request.body))
+    }
+
+    async fn probe_within(&mut self, timeout: MilliSpan) -> Result<(), DispatchError> {
+        let request = Request::builder()
+            .uri("/healthz")
+            .header(header::HOST, &self.host)
+            .header(REQUEST_ID_HEADER, PROBE_ID)
+            .body(Full::default())
+            .map_err(|error| not_sent(&error))?;
+        let echo = RequestEcho::Probe;
+        let answer = self.exchange_within(request, &echo, timeout).await?;
+        if answer.status != StatusCode::OK.as_u16() {
+            self.usable = false;
+            return Err(DispatchError::OutcomeUnknown {
+                detail: format!("the probe is answered with status {}", answer.status),
+            });
+        }
+        Ok(())
+    }
+}
+
+impl EndpointConnection for HttpConnection {
+    fn send(
+        &mut self,
+        request: EndpointRequest,
+        timeout: MilliSpan,
+    ) -> BoxFuture<'_, Result<EndpointAnswer, DispatchError>> {
+        Box::pin(async move {
+            let id = HeaderValue::from_str(&request.id).map_err(|error| not_sent(&error))?;
+            let request = self.request_of(request).map_err(|error| not_sent(&error))?;
+            let echo = RequestEcho::Request(id);
+            self.exchange_within(request, &echo, timeout).await
+        })
+    }
+
+    fn probe(&mut self, timeout: MilliSpan) -> BoxFuture<'_, Result<(), ProbeError>> {
+        Box::pin(async move {
+            self.probe_within(timeout)
+                .await
+                .map_err(|error| ProbeError {
+                    detail: error.to_string(),
+                })
+        })
+    }
+}
+
+impl Drop for HttpConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// What the request id of an answer has to be.
+enum RequestEcho {
+    /// The answer repeats this id.
+    Request(HeaderValue),
+    /// The answer repeats the id of probes or has none: health checks of
+    /// endpoints need not echo.
+    Probe,
+}
+
+impl RequestEcho {
+    fn matches(&self, response: &Response<Incoming>) -> bool {
+        let found = response.headers().get(REQUEST_ID_HEADER);
+        match self {
+            Self::Request(id) => found == Some(id),
+            Self::Probe => found.is_none_or(|found| found == PROBE_ID),
+        }
+    }
+}
+
+/// Refuses an answer that only the end of the connection delimits: a truncated
+/// one could not be told from a whole one.
+fn check_framing(response: &Response<Incoming>) -> Result<(), DispatchError> {
+    let headers = response.headers();
+    let coding = headers.get(header::TRANSFER_ENCODING);
+    let chunked = coding.is_some_and(|coding| coding.as_bytes().ends_with(b"chunked"));
+    let delimited = chunked
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || response.status() == StatusCode::NO_CONTENT;
+    if delimited {
+        return Ok(());
+    }
+    Err(DispatchError::OutcomeUnknown {
+        detail: "the answer does not state its length".to_owned(),
+    })
+}
+
+fn late(sent: bool, timeout: MilliSpan) -> DispatchError {
+    let detail = format!("no whole answer within {timeout}");
+    if sent {
+        DispatchError::OutcomeUnknown { detail }
+    } else {
+        DispatchError::NotSent { detail }
+    }
+}
+
+fn failed(error: &dyn std::error::Error) -> ConnectError {
+    ConnectError {
+        detail: text_of(error),
+    }
+}
+
+fn not_sent(error: &dyn std::error::Error) -> DispatchError {
+    DispatchError::NotSent {
+        detail: text_of(error),
+    }
+}
+
+fn unknown(error: &dyn std::error::Error) -> DispatchError {
+    DispatchError::OutcomeUnknown {
+        detail: text_of(error),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-platform/src/http_log.rs
@@ -0,0 +1,187 @@
+//! The log over HTTP.
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::uri::Authority;
+use http::{Method, StatusCode};
+use pimentochute_base::{LogOffset, MilliSpan, StreamName};
+
+use crate::http_client::{CallError, HttpCall, HttpClient};
+use crate::wire::{AppendText, WireError, decode_append, decode_gone, decode_read, encode_json};
+use crate::{AppendError, LogService, ReadBatch, ReadError};
+
+/// The default time for a call, besides the wait that a read asks for.
+const LOG_TIMEOUT: MilliSpan = MilliSpan::new(3_000);
+
+/// The default largest answer, in bytes.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// A client of the log's HTTP interface.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    client: HttpClient,
+    authority: Authority,
+}
+
+impl HttpLog {
+    /// Creates a client of the log at `authority` (host and port).
+    #[must_use]
+    pub fn new(authority: Authority) -> Self {
+        Self {
+            client: HttpClient::new(LOG_TIMEOUT, MAX_ANSWER),
+            authority,
+        }
+    }
+
+    /// Sets the longest time for a call, besides the wait that a read asks for.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: MilliSpan) -> Self {
+        self.client = self.client.with_timeout(timeout);
+        self
+    }
+
+    /// Sets the largest accepted answer in bytes.
+    #[must_use]
+    pub fn with_max_answer(mut self, max_answer: usize) -> Self {
+        self.client = self.client.with_max_answer(max_answer);
+        self
+    }
+
+    async fn append_record(
+        &self,
+        stream: &StreamName,
+        payload: Bytes,
+    ) -> Result<LogOffset, AppendError> {
+        let text = AppendText::new(&payload).and_then(|text| encode_json(&text));
+        let call = HttpCall {
+            method: Method::POST,
+            path: format!("/v1/streams/{stream}/records"),
+            body: text.map_err(|error| not_appended(&error))?,
+            wait: MilliSpan::ZERO,
+        };
+        let reply = self.client.call(&self.authority, call).await?;
+        if !reply.status.is_success() {
+            return Err(reply.into_error().into());
+        }
+        let reply = decode_append(&reply.body).map_err(|error| AppendError::OutcomeUnknown {
+            detail: error.to_string(),
+        })?;
+        Ok(reply.offset)
+    }
+
+    /// Reads with fewer records while the answer is too large, so that a
+    /// stretch of large records does not stop the reader for good.
+    async fn read_records(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait: MilliSpan,
+    ) -> Result<ReadBatch, ReadError> {
+        let mut max_records = max_records.max(1);
+        loop {
+            match self.read_once(stream, from, max_records, wait).await {
+                Err(ReadFault::TooLarge) if max_records > 1 => max_records /= 2,
+                Err(ReadFault::TooLarge) => {
+                    let detail = "one record exceeds the answer limit".to_owned();
+                    return Err(ReadError::Unavailable { detail });
+                }
+                Err(ReadFault::Other(error)) => return Err(error),
+                Ok(batch) => return Ok(batch),
+            }
+        }
+    }
+
+    async fn read_once(
+        &self,
+        stream: &StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait: MilliSpan,
+    ) -> Result<ReadBatch, ReadFault> {
+        let wait_ms = wait.as_millis();
+        let call = HttpCall {
+            method: Method::GET,
+            path: format!(
+                "/v1/streams/{stream}/records?from={from}&max={max_records}&wait_ms={wait_ms}"
+            ),
+            body: Bytes::new(),
+            wait,
+        };
+        let reply = self.client.call(&self.authority, call).await?;
+        match reply.status {
+            StatusCode::OK => Ok(decode_read(&reply.body, from)?),
+            StatusCode::GONE => {
+                let first_retained = decode_gone(&reply.body)?.first_retained;
+                Err(ReadFault::Other(ReadError::BehindRetention {
+                    first_retained,
+                }))
+            }
+            _ => Err(reply.into_error().into()),
+        }
+    }
+}
+
+impl LogService for HttpLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a StreamName,
+        payload: Bytes,
+    ) -> BoxFuture<'a, Result<LogOffset, AppendError>> {
+        Box::pin(self.append_record(stream, payload))
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a StreamName,
+        from: LogOffset,
+        max_records: usize,
+        wait: MilliSpan,
+    ) -> BoxFuture<'a, Result<ReadBatch, ReadError>> {
+        Box::pin(self.read_records(stream, from, max_records, wait))
+    }
+}
+
+impl From<CallError> for AppendError {
+    fn from(error: CallError) -> Self {
+        let detail = error.to_string();
+        match error {
+            CallError::NoEffect { .. } => Self::NotAppended { detail },
+            CallError::OutcomeUnknown { .. } | CallError::TooLarge { .. } => {
+                Self::OutcomeUnknown { detail }
+            }
+        }
+    }
+}
+
+/// The reason why one read attempt has no records.
+#[derive(Debug)]
+enum ReadFault {
+    TooLarge,
+    Other(ReadError),
+}
+
+impl From<CallError> for ReadFault {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::TooLarge { .. } => Self::TooLarge,
+            other => Self::Other(ReadError::Unavailable {
+                detail: other.to_string(),
+            }),
+        }
+    }
+}
+
+impl From<WireError> for ReadFault {
+    fn from(error: WireError) -> Self {
+        Self::Other(ReadError::Unavailable {
+            detail: error.to_string(),
+        })
+    }
+}
+
+fn not_appended(error: &WireError) -> AppendError {
+    AppendError::NotAppended {
+        detail: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-platform/src/http_worker.rs
@@ -0,0 +1,218 @@
+//! Workers over HTTP.
+
+use futures::future::BoxFuture;
+use http::uri::Authority;
+use http::{Method, StatusCode};
+use pimentochute_base::{AttemptRef, EpochNumber, MilliSpan};
+use serde::Serialize;
+
+use crate::http_client::{CallError, HttpCall, HttpClient, HttpReply, text_of};
+use crate::wire::{
+    AcquireText, ForgetText, ReleaseText, RenewText, StartText, StopText, decode_json,
+    decode_refusal, encode_json,
+};
+use crate::{
+    ControlGrant, ControlRequest, StartOrder, WorkerControl, WorkerError, WorkerReport,
+    WorkerTarget,
+};
+
+/// The default time for a command; the time between two renewals, so that a
+/// silent worker does not delay the next one.
+const WORKER_TIMEOUT: MilliSpan = MilliSpan::new(2_000);
+
+/// The default largest answer in bytes; the report of a task has about 150.
+const MAX_ANSWER: usize = 4 * 1024 * 1024;
+
+/// A client of the workers' HTTP interface.
+#[derive(Debug, Clone)]
+pub struct HttpWorkerControl {
+    client: HttpClient,
+}
+
+impl HttpWorkerControl {
+    /// Creates a client for any number of workers.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            client: HttpClient::new(WORKER_TIMEOUT, MAX_ANSWER),
+        }
+    }
+
+    /// Sets the longest time for a command.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: MilliSpan) -> Self {
+        self.client = self.client.with_timeout(timeout);
+        self
+    }
+
+    /// Sets the largest accepted answer in bytes.
+    #[must_use]
+    pub fn with_max_answer(mut self, max_answer: usize) -> Self {
+        self.client = self.client.with_max_answer(max_answer);
+        self
+    }
+
+    async fn command<T: Serialize>(
+        &self,
+        worker: &WorkerTarget,
+        path: &str,
+        text: T,
+    ) -> Result<HttpReply, WorkerError> {
+        let authority: Authority = worker.address.to_string().parse().map_err(|error| {
+            let detail = text_of(&error);
+            CallError::NoEffect { detail }
+        })?;
+        let body = encode_json(&text).map_err(|error| CallError::NoEffect {
+            detail: error.to_string(),
+        })?;
+        let call = HttpCall {
+            method: Method::POST,
+            path: path.to_owned(),
+            body,
+            wait: MilliSpan::ZERO,
+        };
+        let reply = self.client.call(&authority, call).await?;
+        check_reply(reply)
+    }
+}
+
+impl Default for HttpWorkerControl {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl WorkerControl for HttpWorkerControl {
+    fn acquire<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        request: ControlRequest,
+    ) -> BoxFuture<'a, Result<ControlGrant, WorkerError>> {
+        let text = AcquireText {
+            worker: worker.name.clone(),
+            request,
+        };
+        Box::pin(async move {
+            let reply = self.command(worker, "/v1/control/acquire", text).await?;
+            decode_json(&reply.body).map_err(|error| unknown(&error))
+        })
+    }
+
+    fn renew<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        keep: Vec<AttemptRef>,
+        control_lease: MilliSpan,
+        task_lease: MilliSpan,
+    ) -> BoxFuture<'a, Result<WorkerReport, WorkerError>> {
+        let text = RenewText {
+            worker: worker.name.clone(),
+            epoch,
+            keep,
+            control_lease,
+            task_lease,
+        };
+        Box::pin(async move {
+            let reply = self.command(worker, "/v1/control/renew", text).await?;
+            decode_json(&reply.body).map_err(|error| unknown(&error))
+        })
+    }
+
+    fn start<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        order: StartOrder,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        let text = StartText {
+            worker: worker.name.clone(),
+            epoch,
+            order,
+        };
+        Box::pin(async move {
+            self.command(worker, "/v1/tasks/start", text).await?;
+            Ok(())
+        })
+    }
+
+    fn stop<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        attempt: AttemptRef,
+        grace: MilliSpan,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        let text = StopText {
+            worker: worker.name.clone(),
+            epoch,
+            attempt,
+            grace,
+        };
+        Box::pin(async move {
+            self.command(worker, "/v1/tasks/stop", text).await?;
+            Ok(())
+        })
+    }
+
+    fn forget<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+        attempts: Vec<AttemptRef>,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        let text = ForgetText {
+            worker: worker.name.clone(),
+            epoch,
+            attempts,
+        };
+        Box::pin(async move {
+            self.command(worker, "/v1/tasks/forget", text).await?;
+            Ok(())
+        })
+    }
+
+    fn release<'a>(
+        &'a self,
+        worker: &'a WorkerTarget,
+        epoch: EpochNumber,
+    ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        let text = ReleaseText {
+            worker: worker.name.clone(),
+            epoch,
+        };
+        Box::pin(async move {
+            self.command(worker, "/v1/control/release", text).await?;
+            Ok(())
+        })
+    }
+}
+
+impl From<CallError> for WorkerError {
+    fn from(error: CallError) -> Self {
+        let detail = error.to_string();
+        match error {
+            CallError::NoEffect { .. } => Self::Unreachable { detail },
+            CallError::OutcomeUnknown { .. } | CallError::TooLarge { .. } => {
+                Self::OutcomeUnknown { detail }
+            }
+        }
+    }
+}
+
+fn check_reply(reply: HttpReply) -> Result<HttpReply, WorkerError> {
+    if reply.status == StatusCode::CONFLICT {
+        let refusal = decode_refusal(&reply.body).map_err(|error| unknown(&error))?;
+        return Err(refusal.into());
+    }
+    if !reply.status.is_success() {
+        return Err(reply.into_error().into());
+    }
+    Ok(reply)
+}
+
+fn unknown(error: &dyn std::error::Error) -> WorkerError {
+    WorkerError::OutcomeUnknown {
+        detail: error.to_string(),
+    }
+}
--- a/crates/pimentochute-platform/src/lib.rs
+++ b/crates/pimentochute-platform/src/lib.rs
@@ -4,7 +4,13 @@
 
 mod directory;
 mod endpoint;
+mod http_client;
+mod http_directory;
+mod http_endpoint;
+mod http_log;
+mod http_worker;
 mod log;
+pub mod wire;
 mod worker;
 
 pub use directory::{DirectoryError, HostDirectory, HostEntry, HostRole, HostStatus};
@@ -12,6 +18,14 @@
     ConnectError, DispatchError, EndpointAnswer, EndpointConnection, EndpointDialer,
     EndpointRequest, ProbeError,
 };
+pub use http::uri::Authority;
+pub use http_client::NOT_RUN_HEADER;
+pub use http_directory::HttpDirectory;
+pub use http_endpoint::{
+    DEADLINE_HEADER, HttpEndpointDialer, IDEMPOTENT_HEADER, REQUEST_ID_HEADER,
+};
+pub use http_log::HttpLog;
+pub use http_worker::HttpWorkerControl;
 pub use log::{AppendError, LogRecord, LogService, ReadBatch, ReadError};
 pub use worker::{
     ControlGrant, ControlRequest, StartOrder, TaskReport, TaskStatus, WorkerControl, WorkerError,
--- /dev/null
+++ b/crates/pimentochute-platform/src/wire/worker_text.rs
@@ -0,0 +1,124 @@
+//! The JSON texts of worker commands.
+//!
+//! Each command names the worker, because the address of a worker that is
+//! gone may belong to another one.
+
+use pimentochute_base::{AttemptRef, EpochNumber, HostName, MilliSpan, WorkerName};
+use serde::{Deserialize, Serialize};
+
+use super::{WireError, decode_json};
+use crate::{ControlRequest, StartOrder, WorkerError};
+
+/// The content of `POST /v1/control/acquire`; the answer is a
+/// [`crate::ControlGrant`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcquireText {
+    /// The worker that the command is for.
+    pub worker: WorkerName,
+    /// Who asks, and for how long.
+    pub request: ControlRequest,
+}
+
+/// The content of `POST /v1/control/renew`; the answer is a
+/// [`crate::WorkerReport`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewText {
+    /// The worker that the command is for.
+    pub worker: WorkerName,
+    /// The epoch of the sender.
+    pub epoch: EpochNumber,
+    /// The attempts whose leases are extended.
+    pub keep: Vec<AttemptRef>,
+    /// The control lease in milliseconds.
+    pub control_lease: MilliSpan,
+    /// The task lease in milliseconds.
+    pub task_lease: MilliSpan,
+}
+
+/// The content of `POST /v1/control/release`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseText {
+    /// The worker that the command is for.
+    pub worker: WorkerName,
+    /// The epoch of the sender.
+    pub epoch: EpochNumber,
+}
+
+/// The content of `POST /v1/tasks/start`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartText {
+    /// The worker that the command is for.
+    pub worker: WorkerName,
+    /// The epoch of the sender.
+    pub epoch: EpochNumber,
+    /// The task to start.
+    pub order: StartOrder,
+}
+
+/// The content of `POST /v1/tasks/stop`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopText {
+    /// The worker that the command is for.
+    pub worker: WorkerName,
+    /// The epoch of the sender.
+    pub epoch: EpochNumber,
+    /// The task to stop.
+    pub attempt: AttemptRef,
+    /// The time to finish by itself, in milliseconds.
+    pub grace: MilliSpan,
+}
+
+/// The content of `POST /v1/tasks/forget`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForgetText {
+    /// The worker that the command is for.
+    pub worker: WorkerName,
+    /// The epoch of the sender.
+    pub epoch: EpochNumber,
+    /// The ended attempts to drop.
+    pub attempts: Vec<AttemptRef>,
+}
+
+/// The content of an answer with status 409: the command had no effect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "refusal", rename_all = "snake_case")]
+pub enum WorkerRefusal {
+    /// The epoch is not in force.
+    StaleEpoch,
+    /// Another host has control.
+    Held {
+        /// The host that has control.
+        holder: HostName,
+    },
+    /// The worker's process has restarted.
+    OtherIncarnation,
+    /// The demand does not fit.
+    NoRoom,
+    /// The address belongs to another worker.
+    OtherWorker {
+        /// The worker that answers.
+        worker: WorkerName,
+    },
+}
+
+impl From<WorkerRefusal> for WorkerError {
+    fn from(refusal: WorkerRefusal) -> Self {
+        match refusal {
+            WorkerRefusal::StaleEpoch => Self::StaleEpoch,
+            WorkerRefusal::Held { holder } => Self::Held { holder },
+            WorkerRefusal::OtherIncarnation => Self::OtherIncarnation,
+            WorkerRefusal::NoRoom => Self::NoRoom,
+            WorkerRefusal::OtherWorker { worker } => Self::Unreachable {
+                detail: format!("the address belongs to worker {worker}"),
+            },
+        }
+    }
+}
+
+/// Decodes the content of an answer with status 409.
+///
+/// # Errors
+/// [`WireError::Malformed`] if the bytes have another shape.
+pub fn decode_refusal(bytes: &[u8]) -> Result<WorkerRefusal, WireError> {
+    decode_json(bytes)
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/connection.rs
@@ -0,0 +1,136 @@
+//! One connection of a stand-in, with its faults.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+
+use derive_more::{Display, Error};
+use hyper::body::Incoming;
+use hyper::service::Service;
+use pimentochute_platform::REQUEST_ID_HEADER;
+use viz::header::{CONNECTION, HeaderValue};
+use viz::{Request, Responder, Response, Tree};
+
+use crate::connection_gate::ConnectionGate;
+use crate::fault_set::FaultSwitches;
+use crate::reply::not_run;
+
+/// The paths of calls that faults do not touch and gates do not count.
+const ADMIN_PATHS: [&str; 3] = ["/faults", "/records", "/leaving"];
+
+/// The answer is lost on purpose; the server closes the connection.
+#[derive(Debug, Display, Error)]
+#[display("the answer is lost by a fault switch")]
+pub(crate) struct LostAnswer;
+
+/// The state of one connection.
+pub(crate) struct Connection {
+    tree: Arc<Tree>,
+    faults: FaultSwitches,
+    gate: Option<Arc<ConnectionGate>>,
+    silent: AtomicBool,
+    use_of: AtomicU8,
+}
+
+/// What the calls on a connection were so far.
+const UNUSED: u8 = 0;
+const ADMIN: u8 = 1;
+const CALLS: u8 = 2;
+
+impl Connection {
+    /// Counts a new connection in.
+    pub(crate) fn new(
+        tree: Arc<Tree>,
+        faults: FaultSwitches,
+        gate: Option<Arc<ConnectionGate>>,
+    ) -> Self {
+        if let Some(gate) = &gate {
+            gate.enter();
+        }
+        Self {
+            tree,
+            faults,
+            gate,
+            silent: AtomicBool::new(false),
+            use_of: AtomicU8::new(UNUSED),
+        }
+    }
+
+    /// Answers one call under the faults in force.
+    pub(crate) async fn respond(&self, request: Request<Incoming>) -> Result<Response, LostAnswer> {
+        if ADMIN_PATHS.contains(&request.uri().path()) {
+            self.note_admin();
+            return Ok(self.route(request).await);
+        }
+        if !self.note_call() {
+            let mut response = refusal_of(&request, "too many connections");
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            return Ok(response);
+        }
+        let slow = self.faults.get().slow_ms.as_duration();
+        if !slow.is_zero() {
+            tokio::time::sleep(slow).await;
+        }
+        let faults = self.faults.get();
+        if self.silent.fetch_or(faults.silent, Ordering::SeqCst) || faults.silent {
+            std::future::pending::<()>().await;
+        }
+        if faults.down {
+            return Ok(refusal_of(&request, "down by a fault switch"));
+        }
+        let response = self.route(request).await;
+        if faults.lose_answers {
+            return Err(LostAnswer);
+        }
+        Ok(response)
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Response {
+        let responder = Responder::<()>::new(Arc::clone(&self.tree), None);
+        match responder.call(request).await {
+            Ok(response) => response,
+            Err(never) => match never {},
+        }
+    }
+
+    /// Stops counting a connection that carries administrative calls.
+    fn note_admin(&self) {
+        let noted = self
+            .use_of
+            .compare_exchange(UNUSED, ADMIN, Ordering::SeqCst, Ordering::SeqCst);
+        if let (Ok(_), Some(gate)) = (noted, &self.gate) {
+            gate.leave();
+        }
+    }
+
+    /// Returns false for the first call on a connection beyond the limit.
+    fn note_call(&self) -> bool {
+        let before = self.use_of.swap(CALLS, Ordering::SeqCst);
+        let Some(gate) = &self.gate else {
+            return true;
+        };
+        if before == ADMIN {
+            gate.enter();
+        }
+        before == CALLS || gate.admit()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if let (true, Some(gate)) = (self.use_of.load(Ordering::SeqCst) != ADMIN, &self.gate) {
+            gate.leave();
+        }
+    }
+}
+
+/// Builds the answer that the call did not run. It repeats the request id, as
+/// every answer of an endpoint has to.
+fn refusal_of(request: &Request<Incoming>, error: &str) -> Response {
+    let mut response = not_run(error);
+    if let Some(id) = request.headers().get(REQUEST_ID_HEADER) {
+        let id = id.clone();
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    }
+    response
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/endpoint_standin.rs
@@ -0,0 +1,228 @@
+//! An endpoint over HTTP.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use futures::stream;
+use pimentochute_base::{EndpointName, MilliClock, MilliSpan};
+use pimentochute_platform::{IDEMPOTENT_HEADER, REQUEST_ID_HEADER};
+use serde::{Deserialize, Serialize};
+use viz::header::{CONTENT_LENGTH, HeaderValue};
+use viz::{Body, IntoResponse, Request, Response, Result, Router, StatusCode};
+
+use crate::connection_gate::ConnectionGate;
+use crate::endpoint_ledger::{EndpointLedger, RequestRun, sleep_of};
+use crate::fault_set::{FaultSet, FaultSwitches};
+use crate::registration::{LeavingSwitch, LeavingText};
+use crate::reply::{content_of, json, json_of, not_run, plain, refusal};
+use crate::server::Standin;
+use crate::worker_standin::origin_of;
+
+/// An endpoint; clones share it.
+#[derive(Debug, Clone)]
+pub struct EndpointStandin {
+    state: Arc<EndpointState>,
+}
+
+#[derive(Debug)]
+struct EndpointState {
+    name: EndpointName,
+    slots: u32,
+    connections: u32,
+    clock: MilliClock,
+    /// The wall-clock time of the clock's start.
+    origin: MilliSpan,
+    faults: FaultSwitches,
+    leaving: LeavingSwitch,
+    gate: Arc<ConnectionGate>,
+    ledger: Mutex<EndpointLedger>,
+}
+
+/// The answer to `GET /records`; times are wall-clock.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EndpointRecords {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// The connections that it accepts.
+    pub connections: u32,
+    /// The most connections that were open when a call began.
+    pub most_connections: u32,
+    /// The requests that ran, and the violations.
+    pub ledger: EndpointLedger,
+}
+
+impl EndpointStandin {
+    /// Creates an idle endpoint.
+    #[must_use]
+    pub fn new(name: EndpointName, slots: u32, connections: u32, clock: MilliClock) -> Self {
+        let state = EndpointState {
+            name,
+            slots,
+            connections,
+            origin: origin_of(&clock),
+            faults: FaultSwitches::new(),
+            leaving: LeavingSwitch::new(),
+            gate: Arc::new(ConnectionGate::new(connections)),
+            ledger: Mutex::new(EndpointLedger::default()),
+            clock,
+        };
+        Self {
+            state: Arc::new(state),
+        }
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: FaultSet) {
+        self.state.faults.set(faults);
+    }
+
+    /// Returns what an invariant checker needs.
+    #[must_use]
+    pub fn records(&self) -> EndpointRecords {
+        let mut ledger = self.with(|ledger| ledger.clone());
+        ledger.connection_violations = self.state.gate.violations();
+        EndpointRecords {
+            endpoint: self.state.name.clone(),
+            slots: self.state.slots,
+            connections: self.state.connections,
+            most_connections: self.state.gate.most_open(),
+            ledger,
+        }
+    }
+
+    /// Returns the switch by which the endpoint registers as leaving.
+    #[must_use]
+    pub fn leaving(&self) -> &LeavingSwitch {
+        &self.state.leaving
+    }
+
+    fn with<T>(&self, action: impl FnOnce(&mut EndpointLedger) -> T) -> T {
+        let ledger = self.state.ledger.lock();
+        action(&mut ledger.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    async fn answer(self, request: Request) -> Result<Response> {
+        let headers = request.headers();
+        let Some(id) = headers.get(REQUEST_ID_HEADER).cloned() else {
+            return Ok(refusal(StatusCode::BAD_REQUEST, "no request id"));
+        };
+        let stated = headers.get(IDEMPOTENT_HEADER);
+        let idempotent = stated.is_some_and(|value| value == "true");
+        let faults = self.state.faults.get();
+        let body = match content_of(request).await {
+            Ok(body) => body,
+            Err(answer) => return Ok(with_id(answer, id)),
+        };
+        if faults.refuse || !self.begin(&id, idempotent) {
+            return Ok(with_id(not_run("no free slot"), id));
+        }
+        self.run(sleep_of(&body)).await;
+        Ok(run_answer(body, id, faults))
+    }
+
+    fn begin(&self, id: &HeaderValue, idempotent: bool) -> bool {
+        let run = RequestRun {
+            id: String::from_utf8_lossy(id.as_bytes()).into_owned(),
+            idempotent,
+            at: self.state.clock.now() + self.state.origin,
+        };
+        self.with(|ledger| ledger.begin(self.state.slots, run))
+    }
+
+    /// Runs a request. The run goes on and keeps its slot when the connection
+    /// breaks.
+    async fn run(&self, span: MilliSpan) {
+        let endpoint = self.clone();
+        let run = tokio::spawn(async move {
+            if span > MilliSpan::ZERO {
+                tokio::time::sleep(span.as_duration()).await;
+            }
+            endpoint.with(EndpointLedger::finish);
+        });
+        // The run neither panics nor is it cancelled.
+        let _ = run.await;
+    }
+
+    async fn change_faults(self, request: Request) -> Result<Response> {
+        match json_of(request).await {
+            Ok(faults) => {
+                self.set_faults(faults);
+                Ok(StatusCode::NO_CONTENT.into_response())
+            }
+            Err(answer) => Ok(answer),
+        }
+    }
+
+    async fn leave(self, request: Request) -> Result<Response> {
+        match json_of::<LeavingText>(request).await {
+            Ok(text) => {
+                self.state.leaving.set(text.leaving);
+                Ok(StatusCode::NO_CONTENT.into_response())
+            }
+            Err(answer) => Ok(answer),
+        }
+    }
+}
+
+impl Standin for EndpointStandin {
+    fn router(&self) -> Router {
+        let [requests, faults, leaving, records] = std::array::from_fn(|_| self.clone());
+        Router::new()
+            .post("/v1/requests", move |request| {
+                requests.clone().answer(request)
+            })
+            .get("/healthz", |_: Request| async { Ok::<_, viz::Error>("ok") })
+            .post("/faults", move |request| {
+                faults.clone().change_faults(request)
+            })
+            .post("/leaving", move |request| leaving.clone().leave(request))
+            .get("/records", move |_: Request| {
+                let answer = json(StatusCode::OK, &records.records());
+                async move { Ok::<_, viz::Error>(answer) }
+            })
+    }
+
+    fn faults(&self) -> FaultSwitches {
+        self.state.faults.clone()
+    }
+
+    fn gate(&self) -> Option<Arc<ConnectionGate>> {
+        Some(Arc::clone(&self.state.gate))
+    }
+}
+
+/// Builds the answer to a request that ran.
+fn run_answer(body: Bytes, id: HeaderValue, faults: FaultSet) -> Response {
+    if faults.cross {
+        return with_id(
+            plain(StatusCode::OK, body),
+            HeaderValue::from_static("crossed"),
+        );
+    }
+    let status = if faults.fail_all {
+        StatusCode::INTERNAL_SERVER_ERROR
+    } else {
+        StatusCode::OK
+    };
+    if faults.truncate {
+        return with_id(truncated(status, body), id);
+    }
+    with_id(plain(status, body), id)
+}
+
+/// Builds an answer that states one byte more than it sends.
+fn truncated(status: StatusCode, body: Bytes) -> Response {
+    let stated = HeaderValue::from(body.len() + 1);
+    let end = Err(std::io::Error::other("truncated by a fault switch"));
+    let mut response = Response::new(Body::from_stream(stream::iter([Ok(body), end])));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_LENGTH, stated);
+    response
+}
+
+fn with_id(mut response: Response, id: HeaderValue) -> Response {
+    response.headers_mut().insert(REQUEST_ID_HEADER, id);
+    response
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/host_table.rs
@@ -0,0 +1,93 @@
+//! The hosts that registered with the platform, without I/O.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::{MilliSpan, MilliTime};
+use pimentochute_platform::{HostEntry, HostRole, HostStatus};
+
+/// The host list of the platform.
+#[derive(Debug)]
+pub struct HostTable {
+    /// By role and name.
+    hosts: BTreeMap<(&'static str, String), RegisteredHost>,
+    /// A host that did not register for so long is gone.
+    expiry: MilliSpan,
+    frozen: Option<Vec<HostEntry>>,
+}
+
+#[derive(Debug)]
+struct RegisteredHost {
+    entry: HostEntry,
+    registered: MilliTime,
+    /// Set by the platform's operator; a registration does not reset it.
+    leaving: bool,
+}
+
+impl HostTable {
+    /// Creates an empty list.
+    #[must_use]
+    pub fn new(expiry: MilliSpan) -> Self {
+        Self {
+            hosts: BTreeMap::new(),
+            expiry,
+            frozen: None,
+        }
+    }
+
+    /// Adds a host or confirms that it lives.
+    pub fn register(&mut self, entry: HostEntry, now: MilliTime) {
+        let key = (entry.role.into(), entry.name.clone());
+        let leaving = self.hosts.get(&key).is_some_and(|host| host.leaving);
+        let host = RegisteredHost {
+            entry,
+            registered: now,
+            leaving,
+        };
+        self.hosts.insert(key, host);
+    }
+
+    /// Marks a host as leaving or not; returns false for an unknown host.
+    pub fn set_leaving(&mut self, role: HostRole, name: &str, leaving: bool) -> bool {
+        match self.hosts.get_mut(&(role.into(), name.to_owned())) {
+            Some(host) => {
+                host.leaving = leaving;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Keeps the shown content as it is now, or shows the actual one again.
+    pub fn set_frozen(&mut self, frozen: bool, now: MilliTime) {
+        match (frozen, &self.frozen) {
+            (true, None) => self.frozen = Some(self.current(now)),
+            (false, _) => self.frozen = None,
+            (true, Some(_)) => {}
+        }
+    }
+
+    /// Returns the shown content.
+    pub fn list(&mut self, now: MilliTime) -> Vec<HostEntry> {
+        match &self.frozen {
+            Some(hosts) => hosts.clone(),
+            None => self.current(now),
+        }
+    }
+
+    fn current(&mut self, now: MilliTime) -> Vec<HostEntry> {
+        let expiry = self.expiry;
+        self.hosts
+            .retain(|_, host| now.since(host.registered) < expiry);
+        self.hosts.values().map(RegisteredHost::shown).collect()
+    }
+}
+
+impl RegisteredHost {
+    fn shown(&self) -> HostEntry {
+        let mut entry = self.entry.clone();
+        if self.leaving {
+            entry.status = HostStatus::Leaving;
+        }
+        entry
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/reply.rs
@@ -0,0 +1,71 @@
+//! Reads the content of requests and builds answers.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use pimentochute_platform::NOT_RUN_HEADER;
+use pimentochute_platform::wire::{decode_json, encode_json};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use viz::header::{CONTENT_TYPE, HeaderValue};
+use viz::{Body, Request, Response, StatusCode};
+
+/// The largest accepted content of a request, in bytes; snapshots of the
+/// configuration are the largest.
+const MAX_CONTENT: usize = 16 * 1024 * 1024;
+
+/// The content of an answer that reports an error.
+#[derive(Debug, Serialize)]
+struct ErrorText<'a> {
+    error: &'a str,
+}
+
+/// Reads the content of a request; the error is the answer to give.
+pub(crate) async fn content_of(request: Request) -> Result<Bytes, Response> {
+    let body = Limited::new(request.into_body(), MAX_CONTENT);
+    match body.collect().await {
+        Ok(content) => Ok(content.to_bytes()),
+        Err(error) => Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string())),
+    }
+}
+
+/// Reads JSON content; the error is the answer to give.
+pub(crate) async fn json_of<T: DeserializeOwned>(request: Request) -> Result<T, Response> {
+    let content = content_of(request).await?;
+    decode_json(&content).map_err(|error| refusal(StatusCode::BAD_REQUEST, &error.to_string()))
+}
+
+/// Builds an answer with a JSON content.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    match encode_json(value) {
+        Ok(text) => {
+            let mut response = plain(status, text);
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => plain(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            Bytes::from(error.to_string()),
+        ),
+    }
+}
+
+/// Builds an answer that reports an error.
+pub(crate) fn refusal(status: StatusCode, error: &str) -> Response {
+    json(status, &ErrorText { error })
+}
+
+/// Builds the answer that states that the call did not run.
+pub(crate) fn not_run(error: &str) -> Response {
+    let mut response = refusal(StatusCode::SERVICE_UNAVAILABLE, error);
+    let stated = HeaderValue::from_static("true");
+    response.headers_mut().insert(NOT_RUN_HEADER, stated);
+    response
+}
+
+/// Builds an answer with any content.
+pub(crate) fn plain(status: StatusCode, content: Bytes) -> Response {
+    let mut response = Response::new(Body::Full(Full::new(content)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/running_host.rs
@@ -0,0 +1,102 @@
+//! A worker or endpoint that runs and registers.
+
+use std::io;
+use std::net::SocketAddr;
+
+use pimentochute_base::MilliClock;
+use pimentochute_platform::{HostEntry, HostRole, HostStatus};
+use tokio::net::TcpListener;
+
+use crate::endpoint_standin::EndpointStandin;
+use crate::fleet_plan::{EndpointPlan, HostPlace, WorkerPlan};
+use crate::registration::{HostRegistration, LeavingSwitch};
+use crate::server::{RunningServer, Standin, serve};
+use crate::worker_standin::WorkerStandin;
+
+/// A host that runs and registers until it is stopped.
+#[derive(Debug)]
+pub struct RunningHost {
+    /// What the host registers.
+    pub entry: HostEntry,
+    server: RunningServer,
+    _registration: HostRegistration,
+}
+
+impl RunningHost {
+    /// Runs a worker on `listen` and registers it.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be opened.
+    pub async fn start_worker(
+        plan: WorkerPlan,
+        listen: SocketAddr,
+        place: &HostPlace,
+        clock: MilliClock,
+    ) -> io::Result<Self> {
+        let name = plan.name.to_string();
+        let rack = Some(plan.rack.clone());
+        let worker = WorkerStandin::new(plan.name, plan.rack, plan.capacity, clock);
+        let entry = |address| HostEntry {
+            rack,
+            ..entry_of(name, HostRole::Worker, address, place)
+        };
+        Self::start(&worker, worker.leaving(), listen, place, entry).await
+    }
+
+    /// Runs an endpoint on `listen` and registers it.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be opened.
+    pub async fn start_endpoint(
+        plan: EndpointPlan,
+        listen: SocketAddr,
+        place: &HostPlace,
+        clock: MilliClock,
+    ) -> io::Result<Self> {
+        let name = plan.name.to_string();
+        let endpoint = EndpointStandin::new(plan.name, plan.slots, plan.connections, clock);
+        let entry = |address| HostEntry {
+            service: Some(plan.service),
+            slots: plan.slots,
+            connections: plan.connections,
+            ..entry_of(name, HostRole::Endpoint, address, place)
+        };
+        Self::start(&endpoint, endpoint.leaving(), listen, place, entry).await
+    }
+
+    /// Stops the host; it vanishes from the host list after a few seconds.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+
+    async fn start(
+        standin: &dyn Standin,
+        leaving: &LeavingSwitch,
+        listen: SocketAddr,
+        place: &HostPlace,
+        entry: impl FnOnce(SocketAddr) -> HostEntry,
+    ) -> io::Result<Self> {
+        let server = serve(TcpListener::bind(listen).await?, standin)?;
+        let entry = entry(server.address());
+        let platform = place.platform.clone();
+        Ok(Self {
+            _registration: HostRegistration::new(platform, entry.clone(), leaving),
+            entry,
+            server,
+        })
+    }
+}
+
+fn entry_of(name: String, role: HostRole, address: SocketAddr, place: &HostPlace) -> HostEntry {
+    HostEntry {
+        name,
+        role,
+        data_centre: place.data_centre.clone(),
+        address,
+        status: HostStatus::Live,
+        rack: None,
+        service: None,
+        slots: 0,
+        connections: 0,
+    }
+}
--- /dev/null
+++ b/crates/pimentochute-standins/src/server.rs
@@ -0,0 +1,145 @@
+//! Serves a stand-in over HTTP/1.1.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use viz::{Router, Tree};
+
+use crate::connection::Connection;
+use crate::connection_gate::ConnectionGate;
+use crate::fault_set::FaultSwitches;
+
+/// The longest time that calls in progress get when the server stops.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// The pause after a failed accept, which most often means that the process
+/// has no free file descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a server needs of a stand-in.
+pub trait Standin: Send + Sync {
+    /// Returns the routes, among them `POST /faults`.
+    fn router(&self) -> Router;
+
+    /// Returns the switches that apply to each call.
+    fn faults(&self) -> FaultSwitches;
+
+    /// Returns the gate that counts connections, if they are limited.
+    fn gate(&self) -> Option<Arc<ConnectionGate>> {
+        None
+    }
+}
+
+/// A server that runs until it is stopped or dropped.
+#[derive(Debug)]
+pub struct RunningServer {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+/// Serves a stand-in on a listener.
+///
+/// # Errors
+/// Fails if the listener has no local address.
+pub fn serve(listener: TcpListener, standin: &dyn Standin) -> io::Result<RunningServer> {
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let acceptor = Acceptor {
+        tree: Arc::new(Tree::from(standin.router())),
+        faults: standin.faults(),
+        gate: standin.gate(),
+    };
+    let task = tokio::spawn(acceptor.run(listener, stopped));
+    Ok(RunningServer {
+        address,
+        stop,
+        task,
+    })
+}
+
+/// Serves a stand-in on an idle port of the loopback interface.
+///
+/// # Errors
+/// Fails if no port can be opened.
+pub async fn serve_local(standin: &dyn Standin) -> io::Result<RunningServer> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    serve(listener, standin)
+}
+
+impl RunningServer {
+    /// Returns the address that the server listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener, lets calls in progress finish for a short time,
+    /// and closes all connections.
+    pub async fn stop(mut self) {
+        self.stop.send_replace(true);
+        // The task is only cancelled by dropping the server.
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for RunningServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Acceptor {
+    tree: Arc<Tree>,
+    faults: FaultSwitches,
+    gate: Option<Arc<ConnectionGate>>,
+}
+
+impl Acceptor {
+    async fn run(self, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
+        let graceful = GracefulShutdown::new();
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.spawn(stream, &graceful, &mut connections),
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                },
+                Some(_) = connections.join_next() => {}
+                _ = stopped.changed() => break,
+            }
+        }
+        drop(listener);
+        // The limit ends long polls and connections that a fault silenced.
+        let _ = tokio::time::timeout(STOP_LIMIT, graceful.shutdown()).await;
+        connections.shutdown().await;
+    }
+
+    fn spawn(&self, stream: TcpStream, graceful: &GracefulShutdown, connections: &mut JoinSet<()>) {
+        let _ = stream.set_nodelay(true);
+        let connection = Arc::new(Connection::new(
+            Arc::clone(&self.tree),
+            self.faults.clone(),
+            self.gate.clone(),
+        ));
+        let service = service_fn(move |request| {
+            let connection = Arc::clone(&connection);
+            async move { connection.respond(request).await }
+        });
+        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let served = graceful.watch(served);
+        connections.spawn(async move {
+            // A connection that breaks is the client's matter.
+            let _ = served.await;
+        });
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,9 +5,11 @@
 mod fake_endpoint;
 mod fake_log;
 mod fake_worker;
+mod raw_server;
 mod shared;
 
 pub use fake_directory::FakeDirectory;
 pub use fake_endpoint::{EndpointFault, FakeDialer, FakeEndpoint};
 pub use fake_log::FakeLog;
 pub use fake_worker::FakeWorkerFleet;
+pub use raw_server::{RawEnd, RawServer};
--- /dev/null
+++ b/tests/src/raw_server.rs
@@ -0,0 +1,71 @@
+//! A server that answers with fixed bytes, for answers that no sound server
+//! gives.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// What a raw server does after it has sent its bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RawEnd {
+    /// It closes the connection.
+    Close,
+    /// It keeps the connection open and silent.
+    Hold,
+}
+
+/// A server that sends the same bytes once per connection, after the head of
+/// a request has arrived.
+#[derive(Debug)]
+pub struct RawServer {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl RawServer {
+    /// Opens a raw server on an idle port of the loopback interface.
+    ///
+    /// # Errors
+    /// Fails if no port can be opened.
+    pub async fn new(answer: Vec<u8>, end: RawEnd) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer_once(stream, answer.clone(), end));
+            }
+        });
+        Ok(Self { address, task })
+    }
+
+    /// Returns the address that the server listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for RawServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn answer_once(mut stream: TcpStream, answer: Vec<u8>, end: RawEnd) {
+    let mut received = Vec::new();
+    while !received.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        match stream.read_buf(&mut received).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+    // The client may close early; what it makes of the answer is the test's
+    // matter.
+    let _ = stream.write_all(&answer).await;
+    if end == RawEnd::Hold {
+        let _ = stream.read_to_end(&mut received).await;
+    }
+}
--- /dev/null
+++ b/tests/tests/platform_wire.rs
@@ -0,0 +1,130 @@
+//! Tests of the decoders of the outside interfaces.
+
+use pimentochute_base::LogOffset;
+use pimentochute_platform::wire::{
+    AcquireText, ForgetText, ReadReply, RecordText, ReleaseText, RenewText, StartText, StopText,
+    WireError, decode_append, decode_gone, decode_hosts, decode_json, decode_read, decode_refusal,
+};
+use pimentochute_platform::{ControlGrant, EndpointDialer, EndpointRequest, HttpEndpointDialer};
+use pimentochute_standins::{FaultSet, TaskCommand, sleep_of};
+use pimentochute_tests::{RawEnd, RawServer};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    }
+}
+
+/// Gives the bytes to every decoder; none may panic.
+fn decode_all(bytes: &[u8]) {
+    let _ = decode_append(bytes);
+    let _ = decode_gone(bytes);
+    let _ = decode_hosts(bytes);
+    let _ = decode_read(bytes, LogOffset::new(3));
+    let _ = decode_refusal(bytes);
+    let _ = decode_json::<ControlGrant>(bytes);
+    let _ = decode_json::<AcquireText>(bytes);
+    let _ = decode_json::<RenewText>(bytes);
+    let _ = decode_json::<ReleaseText>(bytes);
+    let _ = decode_json::<StartText>(bytes);
+    let _ = decode_json::<StopText>(bytes);
+    let _ = decode_json::<ForgetText>(bytes);
+    let _ = decode_json::<FaultSet>(bytes);
+    let _ = sleep_of(bytes);
+    let _ = TaskCommand::new(&String::from_utf8_lossy(bytes));
+}
+
+proptest! {
+    #![proptest_config(config(2_000))]
+
+    #[test]
+    fn arbitrary_bytes_are_no_text(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        decode_all(&bytes);
+        prop_assert!(decode_hosts(&bytes).is_err() || bytes.trim_ascii() == b"[]");
+        prop_assert!(decode_append(&bytes).is_err());
+        prop_assert!(decode_read(&bytes, LogOffset::new(0)).is_err());
+    }
+
+    /// Guards against a panic on texts that are almost right.
+    #[test]
+    fn damaged_texts_do_not_panic(
+        at in 0usize..200,
+        byte in any::<u8>(),
+        cut in 0usize..200,
+    ) {
+        let texts = [
+            r#"{"records":[{"offset":3,"payload":"a"}],"first_retained":1,"tail":4}"#,
+            r#"[{"name":"w","role":"worker","data_centre":"n","address":"127.0.0.1:1","status":"live"}]"#,
+            r#"{"refusal":"held","holder":"h1"}"#,
+        ];
+        for text in texts {
+            let mut bytes = text.as_bytes().to_vec();
+            let index = at % bytes.len();
+            bytes[index] = byte;
+            decode_all(&bytes);
+            bytes.truncate(cut % text.len());
+            decode_all(&bytes);
+        }
+    }
+
+    /// Guards against a batch with a gap or a repeated record being applied,
+    /// after which the hosts of a data centre would disagree.
+    #[test]
+    fn batch_is_accepted_only_without_gaps(
+        offsets in prop::collection::vec(4u64..8, 0..4),
+        first_retained in 0u64..8,
+        tail in 0u64..10,
+    ) {
+        let from = 4;
+        let records = offsets.iter().map(|offset| RecordText {
+            offset: LogOffset::new(*offset),
+            payload: "x".to_owned(),
+        });
+        let reply = ReadReply {
+            records: records.collect(),
+            first_retained: LogOffset::new(first_retained),
+            tail: LogOffset::new(tail),
+        };
+        let bytes = serde_json::to_vec(&reply).expect("has a JSON form");
+        let decoded = decode_read(&bytes, LogOffset::new(from));
+        let follows = offsets.iter().copied().eq((from..).take(offsets.len()));
+        let gap_refused = matches!(decoded, Err(WireError::OffsetGap { .. }));
+        prop_assert!(follows || gap_refused);
+        if let Ok(batch) = decoded {
+            let end = from + offsets.len() as u64;
+            prop_assert!(offsets.is_empty() || first_retained <= from && tail >= end);
+            prop_assert_eq!(batch.records.len(), offsets.len());
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(64))]
+
+    /// Guards against an endpoint whose answer is not HTTP being believed or
+    /// keeping the caller.
+    #[test]
+    fn arbitrary_answer_of_an_endpoint_is_an_error(
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        let answered = runtime.block_on(async {
+            let server = RawServer::new(bytes, RawEnd::Close).await.expect("an idle port");
+            let dialer = HttpEndpointDialer::new();
+            let timeout = pimentochute_base::MilliSpan::new(5_000);
+            let mut connection = dialer.connect(server.address(), timeout).await.expect("accepts");
+            let request = EndpointRequest {
+                id: "q1".to_owned(),
+                idempotent: false,
+                deadline: timeout,
+                body: bytes::Bytes::new(),
+            };
+            connection.send(request, timeout).await.is_ok()
+        });
+        prop_assert!(!answered);
+    }
+}
