--- a/crates/pimentochute-server/src/assembly.rs
+++ b/crates/pimentochute-server/src/assembly.rs
@@ -2,12 +2,20 @@
 
 use std::sync::Arc;
 
+use futures::FutureExt;
 use pimentochute_base::{HostIncarnation, MilliClock};
-use pimentochute_route::PeerForward;
+use pimentochute_platform::{
+    Authority, EndpointDialer, HttpDirectory, HttpEndpointDialer, HttpLog, HttpWorkerControl,
+};
+use pimentochute_route::{
+    EndpointStatus, HostPosition, PeerForward, RequestRouter, RouterSettings,
+};
 
+use crate::api::EndpointView;
+use crate::control::{ControlRuntime, RouterFeed, endless};
 use crate::daemon::{DaemonError, DaemonParts};
-use crate::settings::Settings;
-use crate::{DrainGate, Metrics, PeerLink, PeerTable};
+use crate::settings::{HostPort, Settings};
+use crate::{DrainGate, EndpointList, Metrics, PeerLink, PeerTable, PlatformClients, ServiceLoad};
 
 /// What the control plane and the router may build on.
 #[derive(Clone)]
@@ -30,10 +38,124 @@
     pub gate: Arc<DrainGate>,
 }
 
-/// Builds the control plane and the router.
+/// Builds the control plane and the router on the platform of the settings.
 ///
 /// # Errors
-/// Always fails: this build holds neither a control plane nor a router.
-pub async fn assemble(_context: &DaemonContext) -> Result<DaemonParts, DaemonError> {
-    Err(DaemonError::NotAssembled)
+/// Fails if an address or a name of the settings cannot be used.
+pub async fn assemble(context: &DaemonContext) -> Result<DaemonParts, DaemonError> {
+    let settings = &context.settings;
+    let log =
+        HttpLog::new(authority(&settings.log_address)?).with_timeout(settings.log.call_timeout_ms);
+    let directory = HttpDirectory::new(authority(&settings.directory_address)?)
+        .with_timeout(settings.directory.call_timeout_ms);
+    let workers = HttpWorkerControl::new().with_timeout(settings.workers.call_timeout_ms);
+    let clients = PlatformClients {
+        log: Arc::new(log),
+        directory: Arc::new(directory),
+        workers: Arc::new(workers),
+    };
+    assemble_with(context, &clients, Arc::new(HttpEndpointDialer::new()))
+}
+
+/// Builds the control plane and the router on the given platform.
+///
+/// # Errors
+/// Fails if the name of the data centre is too long for a stream's name.
+pub fn assemble_with(
+    context: &DaemonContext,
+    clients: &PlatformClients,
+    dialer: Arc<dyn EndpointDialer>,
+) -> Result<DaemonParts, DaemonError> {
+    let router = request_router(context, dialer);
+    let runtime = ControlRuntime::new(context, clients, router.clone())?;
+    let feed = RouterFeed {
+        router: router.clone(),
+        config: runtime.config,
+        hosts: runtime.hosts,
+        data_centre: context.settings.data_centre.clone(),
+        centre_index: index(context.settings.centre_index()),
+        centre_count: index(context.settings.data_centres.len()),
+        position: host_position(context),
+    };
+    let mut children = runtime.children;
+    children.push(endless("router feed", Arc::new(feed), |part| {
+        async move { part.run().await }.boxed()
+    }));
+    Ok(DaemonParts {
+        control: runtime.plane.clone(),
+        route: Arc::new(router.clone()),
+        endpoints: Arc::new(router),
+        beats: runtime.plane,
+        hooks: runtime.hooks,
+        children,
+    })
+}
+
+impl EndpointList for RequestRouter {
+    fn endpoints(&self) -> Vec<EndpointView> {
+        let used = Self::endpoints(self).into_iter();
+        used.map(|endpoint| EndpointView {
+            name: endpoint.name.to_string(),
+            service: endpoint.service.to_string(),
+            status: match endpoint.status {
+                EndpointStatus::Live if endpoint.avoided => "avoided".to_owned(),
+                EndpointStatus::Live => "live".to_owned(),
+                EndpointStatus::Leaving => "leaving".to_owned(),
+            },
+            slots: endpoint.slots,
+            in_use: endpoint.in_use,
+        })
+        .collect()
+    }
+
+    fn loads(&self) -> Vec<ServiceLoad> {
+        let loads = Self::loads(self).into_iter();
+        loads
+            .map(|load| ServiceLoad {
+                service: load.service,
+                free_slots: load.free_slots,
+                waiting: load.waiting,
+            })
+            .collect()
+    }
+}
+
+fn request_router(context: &DaemonContext, dialer: Arc<dyn EndpointDialer>) -> RequestRouter {
+    let requests = context.settings.requests;
+    let settings = RouterSettings {
+        max_waiting: usize::try_from(requests.queue_length).unwrap_or(usize::MAX),
+        connect_timeout: requests.connect_timeout_ms,
+        probe_after: requests.probe_idle_ms,
+        probe_timeout: requests.probe_timeout_ms,
+        retry_percent: requests.retry_percent,
+        retry_reserve: requests.retry_reserve,
+        backoff_base: requests.retry_backoff_ms,
+        seed: context.incarnation.get(),
+        ..RouterSettings::default()
+    };
+    RequestRouter::new(
+        settings,
+        host_position(context),
+        dialer,
+        Arc::clone(&context.forward),
+        context.clock.clone(),
+    )
+}
+
+fn host_position(context: &DaemonContext) -> HostPosition {
+    let settings = &context.settings;
+    HostPosition::new(
+        index(settings.host_index()),
+        index(settings.local_hosts().len()),
+    )
+}
+
+fn index(position: usize) -> u32 {
+    u32::try_from(position).unwrap_or(u32::MAX)
+}
+
+fn authority(address: &HostPort) -> Result<Authority, DaemonError> {
+    address.as_str().parse().map_err(|_| DaemonError::Address {
+        address: address.clone(),
+    })
 }
--- a/crates/pimentochute-server/src/control.rs
+++ b/crates/pimentochute-server/src/control.rs
@@ -1,12 +1,39 @@
 //! What callers and operators ask of the log-ordered state.
 
+mod cell;
+mod client;
+mod config;
+mod directory;
+mod endpoints;
+mod follower;
+mod freshness;
+mod health;
+mod monitor;
+mod placement;
+mod plane;
+mod reconcile;
+mod runtime;
+mod scheduler;
+mod session;
+mod slices;
+mod snapshots;
+mod views;
+mod workers;
+mod writer;
+
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
 use pimentochute_base::{ConfigVersion, JobId, TeamName};
 use pimentochute_platform::AppendError;
-use pimentochute_state::{CellConfig, ConfigPatch, JobSpec, StampedRecord};
+use pimentochute_state::{CellConfig, ConfigPatch, InvalidReason, JobSpec, StampedRecord};
+
+pub(crate) use endpoints::RouterFeed;
+pub use freshness::{ConfigFreshness, FreshnessFacts};
+pub use runtime::PlatformClients;
+pub(crate) use runtime::{ControlRuntime, endless};
+pub use slices::{SliceAction, SliceFacts};
 
 use crate::api::{HistoryView, JobView, PatchView, StatusView, WorkerView};
 
@@ -77,6 +104,13 @@
     /// The job's identifier stands for another job.
     #[display("the idempotency key was used for a different job; hint: choose a new key")]
     Conflict,
+    /// The change is not valid and had no effect.
+    #[display("{reason}")]
+    Refused {
+        /// Why.
+        #[error(not(source))]
+        reason: InvalidReason,
+    },
     /// The host is stopping.
     #[display("the host is stopping; hint: try again, another host will answer")]
     Draining,
--- a/crates/pimentochute-server/src/control/cell.rs
+++ b/crates/pimentochute-server/src/control/cell.rs
@@ -65,7 +65,8 @@
     /// Tells whether this run of this host owns a slice.
     pub(crate) fn owns(&self, slice: SliceIndex) -> bool {
         let fold = self.read();
-        fold.slice(slice).is_some_and(|state| state.owner.as_ref() == Some(&self.owner))
+        fold.slice(slice)
+            .is_some_and(|state| state.owner.as_ref() == Some(&self.owner))
     }
 
     /// Returns a receiver that wakes when records were applied.
@@ -122,7 +123,9 @@
             fold.apply(record.offset, &record.payload)
         };
         match result {
-            Ok(outcomes) => outcomes.into_iter().for_each(|outcome| self.publish(outcome)),
+            Ok(outcomes) => outcomes
+                .into_iter()
+                .for_each(|outcome| self.publish(outcome)),
             Err(error) => log::warn!("cell: Record {} was skipped. {error}", record.offset),
         }
         self.offset.send_replace(record.offset.next());
--- a/crates/pimentochute-server/src/control/client.rs
+++ b/crates/pimentochute-server/src/control/client.rs
@@ -44,13 +44,11 @@
             self.cell.forget(&tag);
             return Err(SubmitError::NotRecorded);
         }
-        match timeout_at(deadline, outcome).await {
-            Ok(Ok(outcome)) => Ok(outcome),
-            _ => {
-                self.cell.forget(&tag);
-                Err(SubmitError::Unknown)
-            }
+        if let Ok(Ok(outcome)) = timeout_at(deadline, outcome).await {
+            return Ok(outcome);
         }
+        self.cell.forget(&tag);
+        Err(SubmitError::Unknown)
     }
 }
 
@@ -70,7 +68,12 @@
         config: Arc<ConfigShared>,
         wait: MilliSpan,
     ) -> Self {
-        Self { log, stream, config, wait }
+        Self {
+            log,
+            stream,
+            config,
+            wait,
+        }
     }
 
     /// Appends a patch and returns what it did when it was read back.
--- a/crates/pimentochute-server/src/control/config.rs
+++ b/crates/pimentochute-server/src/control/config.rs
@@ -58,7 +58,10 @@
         if config.version <= self.current().version {
             return;
         }
-        log::info!("config: Version {} was fetched from a peer.", config.version);
+        log::info!(
+            "config: Version {} was fetched from a peer.",
+            config.version
+        );
         let mut fetched = self.fetched.write().unwrap_or_else(PoisonError::into_inner);
         *fetched = Some(Arc::new(config));
         drop(fetched);
--- a/crates/pimentochute-server/src/control/directory.rs
+++ b/crates/pimentochute-server/src/control/directory.rs
@@ -19,7 +19,11 @@
 impl DirectoryPoller {
     /// Creates a poller that reads once per `interval`.
     pub(crate) fn new(directory: Arc<dyn HostDirectory>, interval: MilliSpan) -> Self {
-        Self { directory, interval, hosts: watch::Sender::new(None) }
+        Self {
+            directory,
+            interval,
+            hosts: watch::Sender::new(None),
+        }
     }
 
     /// Returns a receiver of the list; it wakes when the list changes.
--- a/crates/pimentochute-server/src/control/endpoints.rs
+++ b/crates/pimentochute-server/src/control/endpoints.rs
@@ -19,7 +19,8 @@
     pub(crate) config: Arc<ConfigShared>,
     pub(crate) hosts: watch::Receiver<HostList>,
     pub(crate) data_centre: DataCentreName,
-    pub(crate) data_centres: Vec<DataCentreName>,
+    pub(crate) centre_index: u32,
+    pub(crate) centre_count: u32,
     pub(crate) position: HostPosition,
 }
 
@@ -51,10 +52,11 @@
 
     fn feed_endpoints(&self, list: &HostList) {
         let Some(list) = list else { return };
-        let local = list.iter().filter(|host| {
-            host.role == HostRole::Endpoint && host.data_centre == self.data_centre
-        });
-        self.router.set_endpoints(local.filter_map(endpoint_spec).collect());
+        let local = list
+            .iter()
+            .filter(|host| host.role == HostRole::Endpoint && host.data_centre == self.data_centre);
+        self.router
+            .set_endpoints(local.filter_map(endpoint_spec).collect());
     }
 
     fn feed_teams(&self, config: &CellConfig) {
@@ -64,8 +66,8 @@
             permits: host_permits(
                 limits.max_requests,
                 team,
-                &self.data_centres,
-                &self.data_centre,
+                self.centre_index,
+                self.centre_count,
                 self.position,
             ),
         });
--- a/crates/pimentochute-server/src/control/follower.rs
+++ b/crates/pimentochute-server/src/control/follower.rs
@@ -53,7 +53,14 @@
         target: Arc<dyn FoldTarget>,
         health: Arc<LogHealth>,
     ) -> Self {
-        Self { log, clock, stream, snapshots, target, health }
+        Self {
+            log,
+            clock,
+            stream,
+            snapshots,
+            target,
+            health,
+        }
     }
 
     /// Follows the stream; returns only if its future is dropped.
@@ -72,7 +79,11 @@
     async fn step(&self) -> Result<(), ReadError> {
         let begun = self.clock.now();
         let from = self.target.next_offset();
-        let wait = if self.health.is_caught_up() { READ_WAIT } else { MilliSpan::ZERO };
+        let wait = if self.health.is_caught_up() {
+            READ_WAIT
+        } else {
+            MilliSpan::ZERO
+        };
         let batch = match self.log.read(&self.stream, from, MAX_RECORDS, wait).await {
             Ok(batch) => batch,
             Err(ReadError::BehindRetention { first_retained }) => {
@@ -100,13 +111,20 @@
         if self.target.next_offset() >= first {
             return Ok(());
         }
-        Err(ReadError::BehindRetention { first_retained: first })
+        Err(ReadError::BehindRetention {
+            first_retained: first,
+        })
     }
 
     /// Loads the newest snapshot that is further ahead than the state.
     async fn load_newest_snapshot(&self) {
-        let Some(from) = self.newest_snapshots().await else { return };
-        let read = self.log.read(&self.snapshots, from, MAX_RECORDS, MilliSpan::ZERO).await;
+        let Some(from) = self.newest_snapshots().await else {
+            return;
+        };
+        let read = self
+            .log
+            .read(&self.snapshots, from, MAX_RECORDS, MilliSpan::ZERO)
+            .await;
         let Ok(batch) = read else { return };
         for record in batch.records.iter().rev() {
             if self.target.load_snapshot(&record.payload) {
@@ -122,7 +140,10 @@
 
     /// Returns the offset from which the newest snapshots are read.
     async fn newest_snapshots(&self) -> Option<LogOffset> {
-        let probe = self.log.read(&self.snapshots, LogOffset::new(0), 1, MilliSpan::ZERO).await;
+        let probe = self
+            .log
+            .read(&self.snapshots, LogOffset::new(0), 1, MilliSpan::ZERO)
+            .await;
         let first = match probe {
             Ok(batch) if batch.tail.get() <= SNAPSHOTS_READ => return Some(batch.first_retained),
             Ok(batch) => {
@@ -132,7 +153,11 @@
             Err(ReadError::BehindRetention { first_retained }) => first_retained,
             Err(ReadError::Unavailable { .. }) => return None,
         };
-        let batch = self.log.read(&self.snapshots, first, 1, MilliSpan::ZERO).await.ok()?;
+        let batch = self
+            .log
+            .read(&self.snapshots, first, 1, MilliSpan::ZERO)
+            .await
+            .ok()?;
         let recent = batch.tail.get().saturating_sub(SNAPSHOTS_READ);
         Some(first.max(LogOffset::new(recent)))
     }
--- a/crates/pimentochute-server/src/control/freshness.rs
+++ b/crates/pimentochute-server/src/control/freshness.rs
@@ -49,7 +49,11 @@
         if self.has_read_log() || self.recent().any(|peer| self.peer_has_read_log(peer)) {
             return ConfigFreshness::Current;
         }
-        if self.data_centres.iter().all(|centre| self.is_without_log(centre)) {
+        if self
+            .data_centres
+            .iter()
+            .all(|centre| self.is_without_log(centre))
+        {
             return ConfigFreshness::Current;
         }
         ConfigFreshness::Unknown
@@ -61,7 +65,9 @@
 
     /// Returns the peers whose heartbeat is recent.
     fn recent(&self) -> impl Iterator<Item = &PeerStatus> {
-        self.peers.iter().filter(|peer| self.now.since(peer.received) <= self.fresh)
+        self.peers
+            .iter()
+            .filter(|peer| self.now.since(peer.received) <= self.fresh)
     }
 
     fn is_ahead(&self, peer: &PeerStatus) -> bool {
@@ -76,12 +82,14 @@
     fn newest_peer(&self) -> ConfigFreshness {
         self.recent()
             .max_by_key(|peer| peer.beat.config_version)
-            .map_or(ConfigFreshness::Unknown, |peer| ConfigFreshness::Behind(peer.beat.host.clone()))
+            .map_or(ConfigFreshness::Unknown, |peer| {
+                ConfigFreshness::Behind(peer.beat.host.clone())
+            })
     }
 
     fn is_without_log(&self, centre: &DataCentreName) -> bool {
-        let own = centre == self.data_centre
-            && matches!(self.own, ConfigEvidence::LogUnreachable { .. });
+        let own =
+            centre == self.data_centre && matches!(self.own, ConfigEvidence::LogUnreachable { .. });
         own || self.recent().any(|peer| {
             peer.beat.data_centre == *centre
                 && matches!(peer.beat.evidence, ConfigEvidence::LogUnreachable { .. })
--- a/crates/pimentochute-server/src/control/health.rs
+++ b/crates/pimentochute-server/src/control/health.rs
@@ -25,7 +25,12 @@
     /// Creates the state of a log that was not read yet.
     pub(crate) fn new(clock: MilliClock) -> Self {
         let started = clock.now();
-        Self { clock, started, last_read: AtomicU64::new(NEVER), failing: AtomicU64::new(0) }
+        Self {
+            clock,
+            started,
+            last_read: AtomicU64::new(NEVER),
+            failing: AtomicU64::new(0),
+        }
     }
 
     /// Notes a read that began at `begun` and reached the end of the stream.
--- a/crates/pimentochute-server/src/control/monitor.rs
+++ b/crates/pimentochute-server/src/control/monitor.rs
@@ -9,9 +9,9 @@
 use super::config::ConfigShared;
 use super::freshness::{ConfigFreshness, FreshnessFacts};
 use super::health::LogHealth;
+use crate::PeerTable;
 use crate::peer::{PeerLink, PeerStatus};
 use crate::settings::ConfigurationSettings;
-use crate::PeerTable;
 
 /// The time between two looks at the evidence.
 const TICK: Duration = Duration::from_millis(250);
@@ -40,7 +40,15 @@
         settings: ConfigurationSettings,
     ) -> Self {
         let current_at = AtomicU64::new(0);
-        Self { config, health, table, link, clock, settings, current_at }
+        Self {
+            config,
+            health,
+            table,
+            link,
+            clock,
+            settings,
+            current_at,
+        }
     }
 
     /// Watches until its future is dropped.
@@ -54,7 +62,10 @@
             }
             if self.takes_keyed_work() != taking {
                 taking = !taking;
-                log::warn!("config: Keyed work is {}.", if taking { "taken" } else { "refused" });
+                log::warn!(
+                    "config: Keyed work is {}.",
+                    if taking { "taken" } else { "refused" }
+                );
             }
             tokio::time::sleep(TICK).await;
         }
@@ -84,13 +95,16 @@
     }
 
     fn peers(&self, centres: &[DataCentreName]) -> Vec<PeerStatus> {
-        let hosts = centres.iter().flat_map(|centre| self.table.hosts_of(centre));
+        let hosts = centres
+            .iter()
+            .flat_map(|centre| self.table.hosts_of(centre));
         hosts.filter_map(|host| self.table.status(&host)).collect()
     }
 
     fn note_current(&self) {
         let now = self.clock.now().as_millis();
-        self.current_at.store(now.saturating_add(1), Ordering::SeqCst);
+        self.current_at
+            .store(now.saturating_add(1), Ordering::SeqCst);
     }
 
     async fn fetch(&self, host: &HostName) {
--- a/crates/pimentochute-server/src/control/placement.rs
+++ b/crates/pimentochute-server/src/control/placement.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use pimentochute_base::{AttemptRef, JobId, MilliSpan, MilliTime, SliceIndex, TeamName, WorkerName};
+use pimentochute_base::{
+    AttemptRef, JobId, MilliSpan, MilliTime, SliceIndex, TeamName, WorkerName,
+};
 use pimentochute_schedule::{
     CommittedTask, JobPlacer, JobRefusal, PlacementDecision, PlacerSettings, TeamSpec, WaitingJob,
     WaitingTask, WorkerReadiness, WorkerSpec,
@@ -73,14 +75,27 @@
             CellEffect::TasksPlaced { job, tasks } => {
                 for placed in tasks {
                     let (task, attempt) = (placed.task, placed.attempt);
-                    self.commit(&fold, AttemptRef { job: *job, task, attempt });
+                    self.commit(
+                        &fold,
+                        AttemptRef {
+                            job: *job,
+                            task,
+                            attempt,
+                        },
+                    );
                 }
                 self.set_job(cell, &fold, *job);
             }
             CellEffect::TaskStarted { .. } => {}
-            CellEffect::TaskEnded { attempt, worker, reason, .. } => {
+            CellEffect::TaskEnded {
+                attempt,
+                worker,
+                reason,
+                ..
+            } => {
                 if *reason != EndReason::Succeeded {
-                    self.probes.insert(worker.clone(), now + self.probe_interval);
+                    self.probes
+                        .insert(worker.clone(), now + self.probe_interval);
                 }
                 self.release(cell, &fold, *attempt);
             }
@@ -144,7 +159,9 @@
     }
 
     fn set_job(&mut self, cell: &CellShared, fold: &CellFold, job: JobId) {
-        let state = fold.job(job).filter(|state| owns_team(cell, fold, &state.spec.team));
+        let state = fold
+            .job(job)
+            .filter(|state| owns_team(cell, fold, &state.spec.team));
         match state.and_then(waiting_job) {
             Some(job) => self.placer.update_job(job),
             None => self.placer.remove_job(job),
@@ -158,9 +175,15 @@
 
     /// Counts an attempt, unless it has ended since.
     fn commit(&mut self, fold: &CellFold, attempt: AttemptRef) {
-        let Some(job) = fold.job(attempt.job) else { return };
-        let Some(task) = fold.live_task(attempt) else { return };
-        let Some((_, worker, _)) = task.phase.place() else { return };
+        let Some(job) = fold.job(attempt.job) else {
+            return;
+        };
+        let Some(task) = fold.live_task(attempt) else {
+            return;
+        };
+        let Some((_, worker, _)) = task.phase.place() else {
+            return;
+        };
         self.placer.commit(CommittedTask {
             attempt,
             team: job.spec.team.clone(),
@@ -205,7 +228,11 @@
     fn set_team(&mut self, fold: &CellFold, config: &CellConfig, team: &TeamName) {
         let share = config.teams.get(team).map_or(1, |limits| limits.share);
         let allotment = fold.team(team).map_or(0, |state| state.allotment);
-        self.placer.set_team(TeamSpec { name: team.clone(), share, allotment });
+        self.placer.set_team(TeamSpec {
+            name: team.clone(),
+            share,
+            allotment,
+        });
     }
 }
 
--- a/crates/pimentochute-server/src/control/plane.rs
+++ b/crates/pimentochute-server/src/control/plane.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use futures::future::{BoxFuture, FutureExt};
-use pimentochute_base::{
-    ConfigVersion, DataCentreName, JobId, MilliClock, SliceIndex, TeamName,
-};
+use pimentochute_base::{ConfigVersion, DataCentreName, JobId, MilliClock, SliceIndex, TeamName};
 use pimentochute_platform::AppendError;
 use pimentochute_route::RequestRouter;
 use pimentochute_state::{
@@ -51,7 +49,11 @@
     }
 
     fn config_history(&self) -> Vec<HistoryView> {
-        self.config.read().history().map(HistoryView::from).collect()
+        self.config
+            .read()
+            .history()
+            .map(HistoryView::from)
+            .collect()
     }
 
     fn takes_keyed_work(&self) -> bool {
@@ -105,7 +107,11 @@
                 .filter_map(|slice| {
                     let state = fold.slice(slice)?;
                     let owner = state.owner.as_ref().map(|owner| owner.host.clone());
-                    Some(SliceView { slice, owner, epoch: state.epoch })
+                    Some(SliceView {
+                        slice,
+                        owner,
+                        epoch: state.epoch,
+                    })
                 })
                 .collect(),
             active_jobs: u32::try_from(fold.active_job_count()).unwrap_or(u32::MAX),
@@ -145,7 +151,10 @@
     async fn submit_job(&self, spec: JobSpec) -> Result<JobView, SubmitError> {
         let id = spec.id;
         let at = self.clock.unix_now();
-        let outcome = self.client.record(CellRecord::JobSubmitted { spec, at }).await?;
+        let outcome = self
+            .client
+            .record(CellRecord::JobSubmitted { spec, at })
+            .await?;
         match outcome.effect {
             Ok(_) | Err(InvalidReason::RepeatedSubmission | InvalidReason::RepeatedRecord) => {
                 self.job(id).ok_or(SubmitError::Unknown)
@@ -156,13 +165,17 @@
     }
 
     async fn cancel_job(&self, job: JobId) -> Result<Option<JobView>, SubmitError> {
-        let Some(view) = self.job(job) else { return Ok(None) };
+        let Some(view) = self.job(job) else {
+            return Ok(None);
+        };
         if view.ended_ms.is_some() {
             return Ok(Some(view));
         }
         let at = self.clock.unix_now();
-        let RecordOutcome { effect, .. } =
-            self.client.record(CellRecord::JobCancelled { job, at }).await?;
+        let RecordOutcome { effect, .. } = self
+            .client
+            .record(CellRecord::JobCancelled { job, at })
+            .await?;
         if let Err(reason) = effect {
             log::debug!("control: The cancellation of {job} changed nothing. {reason}");
         }
--- a/crates/pimentochute-server/src/control/reconcile.rs
+++ b/crates/pimentochute-server/src/control/reconcile.rs
@@ -4,9 +4,7 @@
 
 use futures::future::join_all;
 use pimentochute_base::{AttemptRef, ResourceAmount};
-use pimentochute_platform::{
-    StartOrder, TaskStatus, WorkerError, WorkerReport, WorkerTarget,
-};
+use pimentochute_platform::{StartOrder, TaskStatus, WorkerError, WorkerReport, WorkerTarget};
 use pimentochute_state::{CellFold, CellRecord, EndReason, TaskPhase};
 
 use super::session::HeldControl;
@@ -57,7 +55,11 @@
         target: &'a WorkerTarget,
         control: HeldControl,
     ) -> Self {
-        Self { context, target, control }
+        Self {
+            context,
+            target,
+            control,
+        }
     }
 
     /// Returns the control, with the time of the last lease extension.
@@ -100,7 +102,10 @@
             )
             .await;
         renewed.map_err(|error| {
-            log::debug!("workers: Worker {} is not renewed. {error}", self.target.name);
+            log::debug!(
+                "workers: Worker {} is not renewed. {error}",
+                self.target.name
+            );
             match error {
                 WorkerError::Unreachable { .. } => ReconcileError::Silent,
                 // A renewal without an answer may arrive late and extend
@@ -149,7 +154,9 @@
         placed: &BTreeMap<AttemptRef, PlacedTask>,
     ) -> Result<(), ReconcileError> {
         for attempt in std::mem::take(&mut plan.starts) {
-            let Some(task) = placed.get(&attempt) else { continue };
+            let Some(task) = placed.get(&attempt) else {
+                continue;
+            };
             match self.start(attempt, task).await {
                 Ok(()) => {
                     log::info!("workers: Task {attempt} starts on {}.", self.target.name);
@@ -177,15 +184,23 @@
             lease: self.context.settings.task_lease_ms,
         };
         self.control.extended = self.context.clock.now();
-        self.context.control.start(self.target, self.control.epoch, order).await
+        self.context
+            .control
+            .start(self.target, self.control.epoch, order)
+            .await
     }
 
     async fn stop_all(&self, plan: &RoundPlan) -> Result<(), ReconcileError> {
         let grace = self.context.settings.stop_grace_ms;
         for attempt in &plan.stops {
-            log::info!("workers: Task {attempt} on {} is to stop.", self.target.name);
+            log::info!(
+                "workers: Task {attempt} on {} is to stop.",
+                self.target.name
+            );
             let control = &self.context.control;
-            let stopped = control.stop(self.target, self.control.epoch, *attempt, grace).await;
+            let stopped = control
+                .stop(self.target, self.control.epoch, *attempt, grace)
+                .await;
             stopped.map_err(|_| ReconcileError::Fenced)?;
         }
         Ok(())
@@ -197,7 +212,9 @@
         }
         let control = &self.context.control;
         let forgets = plan.forgets.clone();
-        let forgotten = control.forget(self.target, self.control.epoch, forgets).await;
+        let forgotten = control
+            .forget(self.target, self.control.epoch, forgets)
+            .await;
         forgotten.map_err(|_| ReconcileError::Fenced)
     }
 
@@ -206,13 +223,25 @@
     async fn record_all(&self, plan: &RoundPlan) {
         let at = self.context.clock.unix_now();
         let epoch = self.control.epoch;
-        let started =
-            plan.started.iter().map(|attempt| CellRecord::TaskStarted { attempt: *attempt, at });
+        let started = plan.started.iter().map(|attempt| CellRecord::TaskStarted {
+            attempt: *attempt,
+            at,
+        });
         let ended = plan.ended.iter().map(|(attempt, reason)| {
-            log::info!("workers: Task {attempt} on {} ended: {reason}.", self.target.name);
-            CellRecord::TaskEnded { attempt: *attempt, epoch, reason: *reason, at }
+            log::info!(
+                "workers: Task {attempt} on {} ended: {reason}.",
+                self.target.name
+            );
+            CellRecord::TaskEnded {
+                attempt: *attempt,
+                epoch,
+                reason: *reason,
+                at,
+            }
         });
-        let writes = started.chain(ended).map(|record| self.context.client.record(record));
+        let writes = started
+            .chain(ended)
+            .map(|record| self.context.client.record(record));
         for result in join_all(writes).await {
             if let Err(error) = result {
                 log::debug!("workers: A report of {} waits. {error}", self.target.name);
@@ -227,7 +256,12 @@
     let mut reported = BTreeMap::new();
     for task in &report.tasks {
         reported.insert(task.attempt, task.status);
-        plan_reported(&mut plan, task.attempt, task.status, placed.get(&task.attempt));
+        plan_reported(
+            &mut plan,
+            task.attempt,
+            task.status,
+            placed.get(&task.attempt),
+        );
     }
     for (attempt, task) in placed {
         if reported.contains_key(attempt) {
--- a/crates/pimentochute-server/src/control/runtime.rs
+++ b/crates/pimentochute-server/src/control/runtime.rs
@@ -7,10 +7,10 @@
 use pimentochute_base::{NameError, StreamName};
 use pimentochute_platform::{HostDirectory, LogService, WorkerControl};
 use pimentochute_route::RequestRouter;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use super::cell::CellShared;
+use super::cell::{CellChange, CellShared};
 use super::client::{PatchClient, RecordClient};
 use super::config::ConfigShared;
 use super::directory::{DirectoryPoller, HostList};
@@ -53,14 +53,6 @@
     config_snapshots: StreamName,
 }
 
-/// The states that follow the streams.
-struct FollowedStates {
-    cell: Arc<CellShared>,
-    config: Arc<ConfigShared>,
-    cell_health: Arc<LogHealth>,
-    config_health: Arc<LogHealth>,
-}
-
 impl ControlRuntime {
     /// Builds the parts; none of them runs yet.
     ///
@@ -71,135 +63,250 @@
         clients: &PlatformClients,
         router: RequestRouter,
     ) -> Result<Self, NameError> {
+        let (builder, changes, writer) = RuntimeBuilder::new(context, clients)?;
+        let poller = Arc::new(DirectoryPoller::new(
+            Arc::clone(&clients.directory),
+            context.settings.directory.poll_ms,
+        ));
+        let hosts = poller.subscribe();
+        let unreachable = Arc::new(UnreachableWorkers::default());
+        let workers = Arc::new(builder.workers(hosts.clone(), &unreachable));
+        let slices = Arc::new(builder.slices());
+        let monitor = Arc::new(builder.monitor());
+        let plane = Arc::new(builder.plane(&monitor, unreachable, router));
+        let hooks = Arc::new(ControlHooks {
+            slices: Arc::clone(&slices),
+            workers: Arc::clone(&workers),
+        });
+        let config_follower = Arc::new(builder.config_follower());
+        let cell_follower = Arc::new(builder.cell_follower());
+        let scheduler = Arc::new(builder.scheduler(changes));
+        let publisher = Arc::new(builder.publisher());
+        let children = vec![
+            endless("config follower", config_follower, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("cell follower", cell_follower, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("batched writer", Arc::new(writer), |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("slice manager", slices, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("scheduler loop", scheduler, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("worker manager", workers, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("directory poller", poller, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("freshness monitor", monitor, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("snapshot publisher", publisher, |part| {
+                async move { part.run().await }.boxed()
+            }),
+        ];
+        Ok(Self {
+            plane,
+            config: builder.config,
+            hosts,
+            children,
+            hooks,
+        })
+    }
+}
+
+/// Builds the parts around the followed states.
+struct RuntimeBuilder<'a> {
+    context: &'a DaemonContext,
+    clients: &'a PlatformClients,
+    streams: StreamNames,
+    cell: Arc<CellShared>,
+    config: Arc<ConfigShared>,
+    cell_health: Arc<LogHealth>,
+    config_health: Arc<LogHealth>,
+    queue: WriterQueue,
+    client: RecordClient,
+}
+
+impl<'a> RuntimeBuilder<'a> {
+    fn new(
+        context: &'a DaemonContext,
+        clients: &'a PlatformClients,
+    ) -> Result<(Self, mpsc::UnboundedReceiver<CellChange>, RecordWriter), NameError> {
         let streams = StreamNames::new(context)?;
         let settings = &context.settings;
-        let clock = &context.clock;
-        let (cell, changes) = CellShared::new(
-            settings.host.clone(),
-            context.incarnation,
-            settings.slices.slices,
+        let slices = settings.slices.slices;
+        let (cell, changes) = CellShared::new(settings.host.clone(), context.incarnation, slices);
+        let cell = Arc::new(cell);
+        let choice: Arc<dyn WriterChoice> = cell.clone();
+        let pace = AppendPace {
+            writer: settings.log.append_ms,
+            fallback: settings.log.direct_append_ms,
+        };
+        let (writer, queue) = RecordWriter::new(
+            Arc::clone(&clients.log),
+            Arc::clone(&context.link),
+            choice,
+            streams.cell.clone(),
+            pace,
         );
-        let states = FollowedStates {
-            cell: Arc::new(cell),
+        let wait = settings.log.outcome_wait_ms;
+        let client = RecordClient::new(Arc::clone(&cell), queue.clone(), wait);
+        let builder = Self {
+            context,
+            clients,
+            streams,
+            cell,
             config: Arc::new(ConfigShared::new()),
-            cell_health: Arc::new(LogHealth::new(clock.clone())),
-            config_health: Arc::new(LogHealth::new(clock.clone())),
+            cell_health: Arc::new(LogHealth::new(context.clock.clone())),
+            config_health: Arc::new(LogHealth::new(context.clock.clone())),
+            queue,
+            client,
         };
-        let (writer, queue) = record_writer(context, clients, &streams, &states);
-        let client =
-            RecordClient::new(Arc::clone(&states.cell), queue.clone(), settings.log.outcome_wait_ms);
-        let poller =
-            Arc::new(DirectoryPoller::new(Arc::clone(&clients.directory), settings.directory.poll_ms));
-        let hosts = poller.subscribe();
-        let unreachable = Arc::new(UnreachableWorkers::default());
-        let workers = Arc::new(WorkerManager::new(WorkerContext {
-            cell: Arc::clone(&states.cell),
-            client: client.clone(),
-            control: Arc::clone(&clients.workers),
-            table: Arc::clone(&context.peers),
-            clock: clock.clone(),
+        Ok((builder, changes, writer))
+    }
+
+    fn workers(
+        &self,
+        hosts: watch::Receiver<HostList>,
+        unreachable: &Arc<UnreachableWorkers>,
+    ) -> WorkerManager {
+        let settings = &self.context.settings;
+        WorkerManager::new(WorkerContext {
+            cell: Arc::clone(&self.cell),
+            client: self.client.clone(),
+            control: Arc::clone(&self.clients.workers),
+            table: Arc::clone(&self.context.peers),
+            clock: self.context.clock.clone(),
             settings: settings.workers,
             data_centre: settings.data_centre.clone(),
-            hosts: hosts.clone(),
+            hosts,
             releasing: AtomicBool::new(false),
-            unreachable: Arc::clone(&unreachable),
-            log_health: Arc::clone(&states.cell_health),
-        }));
-        let slices = Arc::new(SliceManager::new(
-            Arc::clone(&states.cell),
-            client.clone(),
-            Arc::clone(&context.peers),
-            clock.clone(),
-            settings.slices.takeover_ms,
-            Arc::clone(&context.gate),
-        ));
-        let monitor = Arc::new(FreshnessMonitor::new(
-            Arc::clone(&states.config),
-            Arc::clone(&states.config_health),
-            Arc::clone(&context.peers),
-            Arc::clone(&context.link),
-            clock.clone(),
-            settings.configuration,
-        ));
-        let scheduler = SchedulerLoop::new(
-            Arc::clone(&states.cell),
-            Arc::clone(&states.config),
-            client.clone(),
-            clock.clone(),
-            SchedulerPlace {
-                data_centre: settings.data_centre.clone(),
-                data_centres: context.peers.centres(),
-                probe_interval: settings.workers.quarantine_probe_ms,
-            },
-            changes,
-        );
-        let publisher = SnapshotPublisher {
-            log: Arc::clone(&clients.log),
-            cell: Arc::clone(&states.cell),
-            config: Arc::clone(&states.config),
-            cell_stream: streams.cell_snapshots.clone(),
-            config_stream: streams.config_snapshots.clone(),
-            cell_health: Arc::clone(&states.cell_health),
-            config_health: Arc::clone(&states.config_health),
-            interval: settings.log.snapshot_ms,
+            unreachable: Arc::clone(unreachable),
+            log_health: Arc::clone(&self.cell_health),
+        })
+    }
+
+    fn slices(&self) -> SliceManager {
+        SliceManager::new(
+            Arc::clone(&self.cell),
+            self.client.clone(),
+            Arc::clone(&self.context.peers),
+            self.context.clock.clone(),
+            self.context.settings.slices.takeover_ms,
+            Arc::clone(&self.context.gate),
+        )
+    }
+
+    fn monitor(&self) -> FreshnessMonitor {
+        FreshnessMonitor::new(
+            Arc::clone(&self.config),
+            Arc::clone(&self.config_health),
+            Arc::clone(&self.context.peers),
+            Arc::clone(&self.context.link),
+            self.context.clock.clone(),
+            self.context.settings.configuration,
+        )
+    }
+
+    fn scheduler(&self, changes: mpsc::UnboundedReceiver<CellChange>) -> SchedulerLoop {
+        let settings = &self.context.settings;
+        let place = SchedulerPlace {
+            data_centre: settings.data_centre.clone(),
+            data_centres: self.context.peers.centres(),
+            probe_interval: settings.workers.quarantine_probe_ms,
         };
+        SchedulerLoop::new(
+            Arc::clone(&self.cell),
+            Arc::clone(&self.config),
+            self.client.clone(),
+            self.context.clock.clone(),
+            place,
+            changes,
+        )
+    }
+
+    fn publisher(&self) -> SnapshotPublisher {
+        SnapshotPublisher {
+            log: Arc::clone(&self.clients.log),
+            cell: Arc::clone(&self.cell),
+            config: Arc::clone(&self.config),
+            cell_stream: self.streams.cell_snapshots.clone(),
+            config_stream: self.streams.config_snapshots.clone(),
+            cell_health: Arc::clone(&self.cell_health),
+            config_health: Arc::clone(&self.config_health),
+            interval: self.context.settings.log.snapshot_ms,
+        }
+    }
+
+    fn plane(
+        &self,
+        monitor: &Arc<FreshnessMonitor>,
+        unreachable: Arc<UnreachableWorkers>,
+        router: RequestRouter,
+    ) -> CellPlane {
         let patches = PatchClient::new(
-            Arc::clone(&clients.log),
-            streams.config.clone(),
-            Arc::clone(&states.config),
-            settings.log.outcome_wait_ms,
+            Arc::clone(&self.clients.log),
+            self.streams.config.clone(),
+            Arc::clone(&self.config),
+            self.context.settings.log.outcome_wait_ms,
         );
-        let config_follower = states.config_follower(context, clients, &streams);
-        let cell_follower = states.cell_follower(context, clients, &streams);
-        let plane = CellPlane {
-            cell: Arc::clone(&states.cell),
-            config: Arc::clone(&states.config),
-            client,
+        CellPlane {
+            cell: Arc::clone(&self.cell),
+            config: Arc::clone(&self.config),
+            client: self.client.clone(),
             patches,
-            queue,
-            monitor: Arc::clone(&monitor),
-            cell_health: states.cell_health,
-            config_health: states.config_health,
+            queue: self.queue.clone(),
+            monitor: Arc::clone(monitor),
+            cell_health: Arc::clone(&self.cell_health),
+            config_health: Arc::clone(&self.config_health),
             unreachable,
             router,
-            table: Arc::clone(&context.peers),
-            gate: Arc::clone(&context.gate),
-            clock: clock.clone(),
-            data_centre: settings.data_centre.clone(),
-        };
-        let hooks = Arc::new(ControlHooks {
-            slices: Arc::clone(&slices),
-            workers: Arc::clone(&workers),
-        });
-        Ok(Self {
-            plane: Arc::new(plane),
-            config: states.config,
-            hosts,
-            children: vec![
-                endless("config follower", Arc::new(config_follower), |part| {
-                    async move { part.run().await }.boxed()
-                }),
-                endless("cell follower", Arc::new(cell_follower), |part| {
-                    async move { part.run().await }.boxed()
-                }),
-                endless("batched writer", Arc::new(writer), |part| {
-                    async move { part.run().await }.boxed()
-                }),
-                endless("slice manager", slices, |part| async move { part.run().await }.boxed()),
-                endless("scheduler loop", Arc::new(scheduler), |part| {
-                    async move { part.run().await }.boxed()
-                }),
-                endless("worker manager", workers, |part| async move { part.run().await }.boxed()),
-                endless("directory poller", poller, |part| async move { part.run().await }.boxed()),
-                endless("freshness monitor", monitor, |part| {
-                    async move { part.run().await }.boxed()
-                }),
-                endless("snapshot publisher", Arc::new(publisher), |part| {
-                    async move { part.run().await }.boxed()
-                }),
-            ],
-            hooks,
-        })
+            table: Arc::clone(&self.context.peers),
+            gate: Arc::clone(&self.context.gate),
+            clock: self.context.clock.clone(),
+            data_centre: self.context.settings.data_centre.clone(),
+        }
+    }
+
+    fn config_follower(&self) -> LogFollower {
+        let target: Arc<dyn FoldTarget> = self.config.clone();
+        let streams = (
+            self.streams.config.clone(),
+            self.streams.config_snapshots.clone(),
+        );
+        self.follower(streams, target, &self.config_health)
+    }
+
+    fn cell_follower(&self) -> LogFollower {
+        let target: Arc<dyn FoldTarget> = self.cell.clone();
+        let streams = (
+            self.streams.cell.clone(),
+            self.streams.cell_snapshots.clone(),
+        );
+        self.follower(streams, target, &self.cell_health)
+    }
+
+    fn follower(
+        &self,
+        (stream, snapshots): (StreamName, StreamName),
+        target: Arc<dyn FoldTarget>,
+        health: &Arc<LogHealth>,
+    ) -> LogFollower {
+        LogFollower::new(
+            Arc::clone(&self.clients.log),
+            self.context.clock.clone(),
+            stream,
+            snapshots,
+            target,
+            Arc::clone(health),
+        )
     }
 }
 
@@ -215,42 +322,6 @@
     }
 }
 
-impl FollowedStates {
-    fn config_follower(
-        &self,
-        context: &DaemonContext,
-        clients: &PlatformClients,
-        streams: &StreamNames,
-    ) -> LogFollower {
-        let target: Arc<dyn FoldTarget> = self.config.clone();
-        LogFollower::new(
-            Arc::clone(&clients.log),
-            context.clock.clone(),
-            streams.config.clone(),
-            streams.config_snapshots.clone(),
-            target,
-            Arc::clone(&self.config_health),
-        )
-    }
-
-    fn cell_follower(
-        &self,
-        context: &DaemonContext,
-        clients: &PlatformClients,
-        streams: &StreamNames,
-    ) -> LogFollower {
-        let target: Arc<dyn FoldTarget> = self.cell.clone();
-        LogFollower::new(
-            Arc::clone(&clients.log),
-            context.clock.clone(),
-            streams.cell.clone(),
-            streams.cell_snapshots.clone(),
-            target,
-            Arc::clone(&self.cell_health),
-        )
-    }
-}
-
 /// Gives up slices and workers during a planned stop.
 struct ControlHooks {
     slices: Arc<SliceManager>,
@@ -267,26 +338,6 @@
     }
 }
 
-fn record_writer(
-    context: &DaemonContext,
-    clients: &PlatformClients,
-    streams: &StreamNames,
-    states: &FollowedStates,
-) -> (RecordWriter, WriterQueue) {
-    let choice: Arc<dyn WriterChoice> = states.cell.clone();
-    let pace = AppendPace {
-        writer: context.settings.log.append_ms,
-        fallback: context.settings.log.direct_append_ms,
-    };
-    RecordWriter::new(
-        Arc::clone(&clients.log),
-        Arc::clone(&context.link),
-        choice,
-        streams.cell.clone(),
-        pace,
-    )
-}
-
 /// Makes a child of a part that runs until it is stopped.
 pub(crate) fn endless<T: Send + Sync + 'static>(
     name: &'static str,
--- a/crates/pimentochute-server/src/control/scheduler.rs
+++ b/crates/pimentochute-server/src/control/scheduler.rs
@@ -7,12 +7,11 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use pimentochute_base::{
-    DataCentreName, ConfigVersion, EpochNumber, JobId, LogOffset, MilliClock, MilliSpan, SliceIndex, TeamName,
+    ConfigVersion, DataCentreName, EpochNumber, JobId, LogOffset, MilliClock, MilliSpan,
+    SliceIndex, TeamName,
 };
 use pimentochute_schedule::{JobRefusal, PlacementDecision, RefusalReason};
-use pimentochute_state::{
-    CellRecord, RecordOutcome, RefuseReason, TaskPlacement, allotment,
-};
+use pimentochute_state::{CellRecord, RecordOutcome, RefuseReason, TaskPlacement, allotment};
 use tokio::sync::{Mutex, mpsc, watch};
 use tokio::time::Instant;
 
@@ -68,7 +67,7 @@
         clock: MilliClock,
         place: SchedulerPlace,
         changes: mpsc::UnboundedReceiver<CellChange>,
-        ) -> Self {
+    ) -> Self {
         Self {
             cell,
             config,
@@ -90,7 +89,10 @@
         let mut pending = FuturesUnordered::new();
         let mut resume_at = Instant::now();
         loop {
-            if !self.wait(&mut changes, &mut versions, &mut mirror, &mut pending).await {
+            if !self
+                .wait(&mut changes, &mut versions, &mut mirror, &mut pending)
+                .await
+            {
                 resume_at = Instant::now() + LOG_PAUSE;
             }
             mirror.refresh_probes(&self.cell, self.clock.unix_now());
@@ -147,7 +149,12 @@
     fn take_change(&self, mirror: &mut PlacementMirror, change: CellChange) {
         match change {
             CellChange::Applied(outcome) => {
-                mirror.apply(&self.cell, &self.config.current(), &outcome, self.clock.unix_now());
+                mirror.apply(
+                    &self.cell,
+                    &self.config.current(),
+                    &outcome,
+                    self.clock.unix_now(),
+                );
             }
             CellChange::Replaced => mirror.rebuild(&self.cell, &self.config.current()),
         }
@@ -184,7 +191,10 @@
                 log_placement(&decision);
                 mirror.confirm(&decision);
             }
-            Ok(RecordOutcome { effect: Err(reason), .. }) => {
+            Ok(RecordOutcome {
+                effect: Err(reason),
+                ..
+            }) => {
                 log::info!("scheduler: Job {} keeps waiting. {reason}", decision.job);
                 mirror.revoke(&self.cell, &decision);
             }
@@ -225,7 +235,10 @@
                 owner == Some(self.cell.owner())
             })
             .collect();
-        let configured = config.teams.iter().map(|(team, limits)| (team, limits.max_tasks));
+        let configured = config
+            .teams
+            .iter()
+            .map(|(team, limits)| (team, limits.max_tasks));
         let removed = fold.teams().map(|(team, _)| (team, 0));
         // A team that is no longer configured may start nothing.
         let wanted: BTreeMap<&TeamName, u32> = removed.chain(configured).collect();
@@ -235,14 +248,17 @@
             .filter_map(|(team, limit)| {
                 let tasks = allotment(limit, team, &self.data_centres, &self.data_centre);
                 let known = fold.team(team);
-                let (current, version) =
-                    known.map_or((0, ConfigVersion::default()), |state| {
-                        (state.allotment, state.version)
-                    });
+                let (current, version) = known.map_or((0, ConfigVersion::default()), |state| {
+                    (state.allotment, state.version)
+                });
                 let is_due = tasks != current && config.version > version;
                 let team = team.clone();
                 let version = config.version;
-                is_due.then_some(CellRecord::AllotmentSet { team, version, tasks })
+                is_due.then_some(CellRecord::AllotmentSet {
+                    team,
+                    version,
+                    tasks,
+                })
             })
             .collect()
     }
@@ -251,8 +267,14 @@
     /// took every record.
     async fn write_refusals(&self, refusals: &[JobRefusal]) -> bool {
         for refusal in refusals {
-            let Some(record) = self.refusal_record(refusal) else { continue };
-            log::info!("scheduler: Job {} is refused. {}", refusal.job, refusal.reason);
+            let Some(record) = self.refusal_record(refusal) else {
+                continue;
+            };
+            log::info!(
+                "scheduler: Job {} is refused. {}",
+                refusal.job,
+                refusal.reason
+            );
             if self.client.record(record).await.is_err() {
                 return false;
             }
@@ -269,7 +291,13 @@
             }
         };
         let job: JobId = refusal.job;
-        Some(CellRecord::JobRefused { job, slice, epoch, reason, at: self.clock.unix_now() })
+        Some(CellRecord::JobRefused {
+            job,
+            slice,
+            epoch,
+            reason,
+            at: self.clock.unix_now(),
+        })
     }
 }
 
--- a/crates/pimentochute-server/src/control/session.rs
+++ b/crates/pimentochute-server/src/control/session.rs
@@ -11,7 +11,7 @@
 use pimentochute_state::{CellRecord, RecordOutcome, TaskPhase, WorkerHealth};
 use tokio::sync::watch;
 
-use super::reconcile::{Reconciler, ReconcileError};
+use super::reconcile::{ReconcileError, Reconciler};
 use super::workers::{ListedWorker, WorkerContext};
 
 /// The time between two tries to take control.
@@ -62,7 +62,14 @@
         worker: WorkerName,
         held: Arc<watch::Sender<usize>>,
     ) -> Self {
-        Self { context, worker, held, control: ControlState::Without, seen: None, unreachable_since: None }
+        Self {
+            context,
+            worker,
+            held,
+            control: ControlState::Without,
+            seen: None,
+            unreachable_since: None,
+        }
     }
 
     /// Runs until the worker is lost and no longer listed; returns its name.
@@ -72,8 +79,8 @@
             let pause = self.step().await;
             let deadline = tokio::time::Instant::now() + pause.as_duration();
             while tokio::time::Instant::now() < deadline {
-                let changed = tokio::time::timeout_at(deadline, changes.changed()).await;
-                if changed.is_err() || self.needs_attention() {
+                let waited = tokio::time::timeout_at(deadline, changes.changed()).await;
+                if waited.is_err() || self.needs_attention() {
                     break;
                 }
             }
@@ -97,9 +104,9 @@
         }
         let fold = self.context.cell.read();
         fold.placements(&self.worker).any(|attempt| {
-            let is_new = fold.live_task(attempt).is_some_and(|task| {
-                matches!(task.phase, TaskPhase::Placed { .. })
-            });
+            let is_new = fold
+                .live_task(attempt)
+                .is_some_and(|task| matches!(task.phase, TaskPhase::Placed { .. }));
             is_new || !fold.is_desired(attempt)
         })
     }
@@ -137,7 +144,10 @@
         match self.context.control.acquire(&target, self.request()).await {
             Ok(grant) => self.take_control(&grant),
             Err(WorkerError::Held { holder }) => {
-                log::debug!("workers: Host {holder} has control of worker {}.", self.worker);
+                log::debug!(
+                    "workers: Host {holder} has control of worker {}.",
+                    self.worker
+                );
                 self.note_reachable();
                 ACQUIRE_PAUSE
             }
@@ -167,7 +177,11 @@
         };
         self.seen = Some(record);
         self.set_control(ControlState::Held(control));
-        log::info!("workers: Worker {} is managed under epoch {}.", self.worker, grant.epoch);
+        log::info!(
+            "workers: Worker {} is managed under epoch {}.",
+            self.worker,
+            grant.epoch
+        );
         MilliSpan::ZERO
     }
 
@@ -188,8 +202,14 @@
             return;
         }
         match self.context.client.record(record.clone()).await {
-            Ok(RecordOutcome { effect: Err(reason), .. }) => {
-                log::info!("workers: Worker {} is not taken over. {reason}", self.worker);
+            Ok(RecordOutcome {
+                effect: Err(reason),
+                ..
+            }) => {
+                log::info!(
+                    "workers: Worker {} is not taken over. {reason}",
+                    self.worker
+                );
             }
             Ok(_) => {}
             Err(error) => log::debug!("workers: Worker {} is not recorded. {error}", self.worker),
@@ -200,7 +220,10 @@
     async fn manage(&mut self, control: HeldControl, listed: ListedWorker) -> MilliSpan {
         if self.context.is_isolated() {
             // Others may be waiting for the leases of this worker to lapse.
-            log::warn!("workers: Worker {} is not renewed, this host is isolated.", self.worker);
+            log::warn!(
+                "workers: Worker {} is not renewed, this host is isolated.",
+                self.worker
+            );
             return ACQUIRE_PAUSE;
         }
         let target = self.target(listed);
@@ -295,14 +318,25 @@
     ) -> MilliSpan {
         let worker = self.worker.clone();
         let at = self.context.clock.unix_now();
-        let record = CellRecord::WorkerLost { worker, incarnation, epoch, at };
+        let record = CellRecord::WorkerLost {
+            worker,
+            incarnation,
+            epoch,
+            at,
+        };
         match self.context.client.record(record).await {
             Ok(_) => {
-                log::warn!("workers: Worker {} is lost, its leases have lapsed.", self.worker);
+                log::warn!(
+                    "workers: Worker {} is lost, its leases have lapsed.",
+                    self.worker
+                );
                 self.set_control(ControlState::Without);
             }
             Err(error) => {
-                log::debug!("workers: The loss of {} is not recorded. {error}", self.worker);
+                log::debug!(
+                    "workers: The loss of {} is not recorded. {error}",
+                    self.worker
+                );
             }
         }
         ACQUIRE_PAUSE
@@ -310,7 +344,9 @@
 
     /// Gives up control, since another host manages the worker from now on.
     async fn release(&mut self, listed: Option<ListedWorker>) -> MilliSpan {
-        let ControlState::Held(control) = &self.control else { return ACQUIRE_PAUSE };
+        let ControlState::Held(control) = &self.control else {
+            return ACQUIRE_PAUSE;
+        };
         let epoch = control.epoch;
         if let Some(listed) = listed {
             let target = self.target(listed);
@@ -327,7 +363,9 @@
     async fn set_health(&self, listed: ListedWorker) {
         let wanted = {
             let fold = self.context.cell.read();
-            let Some(worker) = fold.worker(&self.worker) else { return };
+            let Some(worker) = fold.worker(&self.worker) else {
+                return;
+            };
             let limit = self.context.settings.quarantine_failures;
             let failures = u32::try_from(worker.failed_jobs.len()).unwrap_or(u32::MAX);
             let wanted = wanted_health(listed.leaving, worker.health, failures, limit);
@@ -338,9 +376,15 @@
         };
         log::warn!("workers: Worker {} becomes {wanted}.", self.worker);
         let worker = self.worker.clone();
-        let record = CellRecord::WorkerHealthSet { worker, health: wanted };
+        let record = CellRecord::WorkerHealthSet {
+            worker,
+            health: wanted,
+        };
         if let Err(error) = self.context.client.record(record).await {
-            log::debug!("workers: The health of {} is not recorded. {error}", self.worker);
+            log::debug!(
+                "workers: The health of {} is not recorded. {error}",
+                self.worker
+            );
         }
     }
 
@@ -349,8 +393,10 @@
     fn is_preferred(&self) -> bool {
         let now = self.context.clock.now();
         let staying = self.context.table.staying_hosts(now);
-        let reaching: Vec<&HostName> =
-            staying.iter().filter(|host| !self.is_cut_off(host, now)).collect();
+        let reaching: Vec<&HostName> = staying
+            .iter()
+            .filter(|host| !self.is_cut_off(host, now))
+            .collect();
         let candidates: Vec<&str> = if reaching.is_empty() {
             staying.iter().map(HostName::as_str).collect()
         } else {
@@ -392,7 +438,11 @@
         self.control = control;
         if before != after {
             self.held.send_modify(|count| {
-                *count = if after { *count + 1 } else { count.saturating_sub(1) };
+                *count = if after {
+                    *count + 1
+                } else {
+                    count.saturating_sub(1)
+                };
             });
         }
     }
@@ -402,7 +452,10 @@
     }
 
     fn target(&self, listed: ListedWorker) -> WorkerTarget {
-        WorkerTarget { name: self.worker.clone(), address: listed.address }
+        WorkerTarget {
+            name: self.worker.clone(),
+            address: listed.address,
+        }
     }
 
     fn request(&self) -> ControlRequest {
--- a/crates/pimentochute-server/src/control/slices.rs
+++ b/crates/pimentochute-server/src/control/slices.rs
@@ -68,7 +68,11 @@
     pub fn decide(&self) -> SliceAction {
         let is_preferred = self.preferred() == Some(self.own.host.as_str());
         if self.owner == Some(self.own) {
-            return if is_preferred { SliceAction::Keep } else { SliceAction::Release(self.epoch) };
+            return if is_preferred {
+                SliceAction::Keep
+            } else {
+                SliceAction::Release(self.epoch)
+            };
         }
         if is_preferred && !self.owner_heard {
             return SliceAction::Claim(self.epoch.next());
@@ -93,7 +97,15 @@
         gate: Arc<DrainGate>,
     ) -> Self {
         let started = clock.now();
-        Self { cell, client, table, clock, takeover, gate, started }
+        Self {
+            cell,
+            client,
+            table,
+            clock,
+            takeover,
+            gate,
+            started,
+        }
     }
 
     /// Claims and releases until its future is dropped.
@@ -110,9 +122,10 @@
 
     /// Releases every slice of this host, for a planned stop.
     pub(crate) async fn release_all(&self) {
-        let records = self.own_slices().into_iter().map(|(slice, epoch)| {
-            self.write(CellRecord::SliceReleased { slice, epoch })
-        });
+        let records = self
+            .own_slices()
+            .into_iter()
+            .map(|(slice, epoch)| self.write(CellRecord::SliceReleased { slice, epoch }));
         futures::future::join_all(records).await;
     }
 
@@ -179,7 +192,8 @@
         }
         let silent = self.table.silence(&owner.host, now) >= self.takeover;
         let replaced = self.table.status(&owner.host).is_some_and(|status| {
-            status.beat.incarnation != owner.incarnation && now.since(status.received) < self.takeover
+            status.beat.incarnation != owner.incarnation
+                && now.since(status.received) < self.takeover
         });
         !silent && !replaced
     }
@@ -199,7 +213,10 @@
 impl WriterChoice for CellShared {
     fn writer(&self) -> WriterRole {
         let fold = self.read();
-        match fold.slice(WRITER_SLICE).and_then(|state| state.owner.as_ref()) {
+        match fold
+            .slice(WRITER_SLICE)
+            .and_then(|state| state.owner.as_ref())
+        {
             Some(owner) if owner == self.owner() => WriterRole::ThisHost,
             Some(owner) if owner.host != self.owner().host => {
                 WriterRole::OtherHost(owner.host.clone())
--- a/crates/pimentochute-server/src/control/views.rs
+++ b/crates/pimentochute-server/src/control/views.rs
@@ -19,15 +19,21 @@
             reason: job.outcome().and_then(outcome_reason),
             submitted_ms: job.submitted_at,
             ended_ms: job.ended_at(),
-            tasks: job.indexed_tasks().map(|(index, task)| task_view(index, task)).collect(),
+            tasks: job
+                .indexed_tasks()
+                .map(|(index, task)| task_view(index, task))
+                .collect(),
         }
     }
 }
 
 impl From<&WorkerState> for WorkerView {
     fn from(worker: &WorkerState) -> Self {
-        let status =
-            if worker.lost { "lost".to_owned() } else { worker.health.to_string() };
+        let status = if worker.lost {
+            "lost".to_owned()
+        } else {
+            worker.health.to_string()
+        };
         Self {
             name: worker.name.clone(),
             rack: worker.rack.clone(),
@@ -43,9 +49,10 @@
     fn from(outcome: &PatchOutcome) -> Self {
         match outcome {
             PatchOutcome::Accepted { version } => Self::Accepted { version: *version },
-            PatchOutcome::Rejected { current, reason } => {
-                Self::Rejected { current: *current, reason: reason.to_string() }
-            }
+            PatchOutcome::Rejected { current, reason } => Self::Rejected {
+                current: *current,
+                reason: reason.to_string(),
+            },
         }
     }
 }
@@ -106,5 +113,10 @@
         TaskPhase::Running { worker, .. } => ("running".to_owned(), Some(worker.clone())),
         TaskPhase::Done { reason, worker, .. } => (reason.to_string(), worker.clone()),
     };
-    TaskView { task, status, attempt: state.phase.last_attempt().get(), worker }
+    TaskView {
+        task,
+        status,
+        attempt: state.phase.last_attempt().get(),
+        worker,
+    }
 }
--- a/crates/pimentochute-server/src/control/workers.rs
+++ b/crates/pimentochute-server/src/control/workers.rs
@@ -73,7 +73,10 @@
 impl WorkerManager {
     /// Creates a manager without sessions.
     pub(crate) fn new(context: WorkerContext) -> Self {
-        Self { context: Arc::new(context), held: Arc::new(watch::Sender::new(0)) }
+        Self {
+            context: Arc::new(context),
+            held: Arc::new(watch::Sender::new(0)),
+        }
     }
 
     /// Manages until its future is dropped, which ends every session.
@@ -115,8 +118,7 @@
     /// Returns the listed workers, and those that the state knows and that are
     /// not lost.
     fn known_workers(&self) -> BTreeSet<WorkerName> {
-        let mut names: BTreeSet<WorkerName> =
-            self.context.listed_workers().into_keys().collect();
+        let mut names: BTreeSet<WorkerName> = self.context.listed_workers().into_keys().collect();
         let fold = self.context.cell.read();
         names.extend(fold.workers().filter(|w| !w.lost).map(|w| w.name.clone()));
         names
@@ -134,7 +136,13 @@
             .filter_map(|host| {
                 let name = WorkerName::new(&host.name).ok()?;
                 let leaving = host.status == HostStatus::Leaving;
-                Some((name, ListedWorker { address: host.address, leaving }))
+                Some((
+                    name,
+                    ListedWorker {
+                        address: host.address,
+                        leaving,
+                    },
+                ))
             })
             .collect()
     }
--- a/crates/pimentochute-server/src/control/writer.rs
+++ b/crates/pimentochute-server/src/control/writer.rs
@@ -99,12 +99,18 @@
 
     async fn order(&self, records: Vec<StampedRecord>, from_peer: bool) -> Result<(), AppendError> {
         let (done, result) = oneshot::channel();
-        let order = WriteOrder { records, from_peer, done };
+        let order = WriteOrder {
+            records,
+            from_peer,
+            done,
+        };
         if self.sender.try_send(order).is_err() {
             // Bounds the memory of a host while the log is slow.
             return Err(not_appended("too many records wait to be appended"));
         }
-        result.await.unwrap_or_else(|_| Err(unknown("the writer stopped")))
+        result
+            .await
+            .unwrap_or_else(|_| Err(unknown("the writer stopped")))
     }
 }
 
@@ -129,7 +135,14 @@
     ) -> (Self, WriterQueue) {
         let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
         let receiver = tokio::sync::Mutex::new(receiver);
-        let writer = Self { log, link, choice, stream, pace, receiver };
+        let writer = Self {
+            log,
+            link,
+            choice,
+            stream,
+            pace,
+            receiver,
+        };
         (writer, WriterQueue { sender })
     }
 
@@ -151,11 +164,13 @@
             orders.into_iter().partition(|order| order.from_peer);
         let host = match self.choice.writer() {
             WriterRole::ThisHost => {
-                self.append(own_orders.into_iter().chain(peer_orders).collect()).await;
+                self.append(own_orders.into_iter().chain(peer_orders).collect())
+                    .await;
                 return self.pace.writer.as_duration();
             }
             WriterRole::Nobody => {
-                self.append(own_orders.into_iter().chain(peer_orders).collect()).await;
+                self.append(own_orders.into_iter().chain(peer_orders).collect())
+                    .await;
                 return self.pace.fallback.as_duration();
             }
             WriterRole::OtherHost(host) => host,
@@ -190,7 +205,9 @@
     }
 
     async fn append(&self, orders: Vec<WriteOrder>) {
-        let batch = RecordBatch { records: records_of(&orders) };
+        let batch = RecordBatch {
+            records: records_of(&orders),
+        };
         let payload = match serde_json::to_vec(&batch) {
             Ok(payload) => Bytes::from(payload),
             Err(error) => {
@@ -216,7 +233,9 @@
     let mut bytes = first.size();
     let mut orders = vec![first];
     while count < MAX_BATCH && bytes < MAX_BATCH_BYTES {
-        let Ok(order) = receiver.try_recv() else { break };
+        let Ok(order) = receiver.try_recv() else {
+            break;
+        };
         count += order.records.len();
         bytes += order.size();
         orders.push(order);
@@ -234,7 +253,10 @@
 }
 
 fn records_of(orders: &[WriteOrder]) -> Vec<StampedRecord> {
-    orders.iter().flat_map(|order| order.records.iter().cloned()).collect()
+    orders
+        .iter()
+        .flat_map(|order| order.records.iter().cloned())
+        .collect()
 }
 
 fn finish(orders: Vec<WriteOrder>, result: impl Fn() -> Result<(), AppendError>) {
@@ -245,9 +267,13 @@
 }
 
 fn not_appended(detail: &str) -> AppendError {
-    AppendError::NotAppended { detail: detail.to_owned() }
+    AppendError::NotAppended {
+        detail: detail.to_owned(),
+    }
 }
 
 fn unknown(detail: &str) -> AppendError {
-    AppendError::OutcomeUnknown { detail: detail.to_owned() }
+    AppendError::OutcomeUnknown {
+        detail: detail.to_owned(),
+    }
 }
--- a/crates/pimentochute-server/src/daemon.rs
+++ b/crates/pimentochute-server/src/daemon.rs
@@ -6,12 +6,12 @@
 
 use derive_more::{Display, Error, From};
 use futures::future::BoxFuture;
-use pimentochute_base::{HostIncarnation, MilliClock};
+use pimentochute_base::{HostIncarnation, MilliClock, NameError};
 use pimentochute_route::RequestRoute;
 use tokio::sync::mpsc;
 
 use crate::assembly::{DaemonContext, assemble};
-use crate::settings::Settings;
+use crate::settings::{HostPort, Settings};
 use crate::{
     BindError, ChildSpec, ControlPlane, DrainGate, EndpointList, Escalation, HeartbeatLoop,
     HeartbeatSource, HttpServer, Metrics, MetricsError, PeerClient, PeerParts, PeerTable,
@@ -224,8 +224,15 @@
     /// The signals of the process cannot be received.
     #[display("signals cannot be received: {_0}")]
     Signals(std::io::Error),
-    /// The build holds no control plane and no router.
-    #[display("this build holds no control plane and no router")]
+    /// An address of the settings cannot be used.
+    #[display("{address} is not an address; hint: use HOST:PORT")]
     #[from(skip)]
-    NotAssembled,
+    Address {
+        /// The address.
+        #[error(not(source))]
+        address: HostPort,
+    },
+    /// A name of the settings is too long for the name of a stream.
+    #[display("{_0}")]
+    Name(NameError),
 }
--- a/crates/pimentochute-server/src/lib.rs
+++ b/crates/pimentochute-server/src/lib.rs
@@ -21,8 +21,11 @@
 mod supervisor;
 
 pub use admission::{AdmissionCheck, AdmittedWork, CallerIdentity};
-pub use assembly::{DaemonContext, assemble};
-pub use control::{ControlPlane, SubmitError};
+pub use assembly::{DaemonContext, assemble, assemble_with};
+pub use control::{
+    ConfigFreshness, ControlPlane, FreshnessFacts, PlatformClients, SliceAction, SliceFacts,
+    SubmitError,
+};
 pub use daemon::{Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run};
 pub use drain::{DrainGate, FlightGuard, FlightInfo};
 pub use heartbeat_loop::HeartbeatLoop;
--- a/crates/pimentochute-server/src/peer_table.rs
+++ b/crates/pimentochute-server/src/peer_table.rs
@@ -152,6 +152,12 @@
         hosts.iter().map(|host| host.name.clone()).collect()
     }
 
+    /// Returns the data centre of this host.
+    #[must_use]
+    pub const fn own_centre(&self) -> &DataCentreName {
+        &self.own_centre
+    }
+
     /// Returns all data centres, in the order of the settings.
     #[must_use]
     pub fn centres(&self) -> Vec<DataCentreName> {
--- a/crates/pimentochute-server/src/refusal.rs
+++ b/crates/pimentochute-server/src/refusal.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use pimentochute_base::MilliSpan;
 use pimentochute_route::RouteError;
+use pimentochute_state::InvalidReason;
 use serde::{Deserialize, Serialize};
 use strum::{Display as StrumDisplay, EnumString, IntoStaticStr};
 
@@ -170,11 +171,18 @@
             SubmitError::NotRecorded => RefusalCode::LogUnavailable,
             SubmitError::Unknown => RefusalCode::OutcomeUnknown,
             SubmitError::Conflict => RefusalCode::Conflict,
+            SubmitError::Refused {
+                reason: InvalidReason::Full { .. },
+            } => RefusalCode::Overloaded,
+            SubmitError::Refused { .. } => RefusalCode::Invalid,
             SubmitError::Draining => RefusalCode::Draining,
         };
         let refusal = Self::from_text(code, &error.to_string(), "try again later");
         match error {
             SubmitError::Conflict => refusal,
+            SubmitError::Refused { reason } if !matches!(reason, InvalidReason::Full { .. }) => {
+                refusal
+            }
             _ => refusal.with_retry_after(retry_after),
         }
     }
