Let open connections finish requests after the listener closed

Cause: the first drain test cut a request: hyper's graceful shutdown closes new and idle connections at once, even when a request waits unread in their sockets. Change: connections get 1 s after the listener closed, with `connection: close` on every answer, before hyper's graceful shutdown; new connections that never sent a request are dropped then. Tests of limits, refusals, patches, peers and the drain, also under load on kept connections.

--- a/crates/pimentochute-server/src/http_server.rs
+++ b/crates/pimentochute-server/src/http_server.rs
@@ -10,12 +10,12 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use hyper_util::server::graceful::GracefulShutdown;
 use pimentochute_base::MilliClock;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use viz::{Router, Tree};
 
 use crate::drain::DrainGate;
@@ -133,7 +133,8 @@
             .unwrap_or_else(PoisonError::into_inner)
             .take();
         log::info!("http: {} closed its listener", self.name);
-        run.graceful.shutdown().await;
+        run.connections.close();
+        run.connections.wait().await;
         self.finished.cancel();
         Ok(())
     }
@@ -150,7 +151,7 @@
     front: ConnectionFront,
     open: Arc<Semaphore>,
     refusing: Arc<Semaphore>,
-    graceful: GracefulShutdown,
+    connections: TaskTracker,
     close: CancellationToken,
 }
 
@@ -162,7 +163,7 @@
             front: ConnectionFront::new(server.name, tree, server.limits, server.context.clone()),
             open: Arc::new(Semaphore::new(most.min(Semaphore::MAX_PERMITS))),
             refusing: Arc::new(Semaphore::new(REFUSING_CONNECTIONS)),
-            graceful: GracefulShutdown::new(),
+            connections: TaskTracker::new(),
             close,
         }
     }
@@ -193,10 +194,9 @@
         if refuses {
             front = front.refusing();
         }
-        let watcher = self.graceful.watcher();
         let close = self.close.clone();
-        tokio::spawn(async move {
-            serve_connection(front, stream, remote, watcher, close).await;
+        self.connections.spawn(async move {
+            serve_connection(front, stream, remote, close).await;
             drop(permit);
         });
     }
--- a/crates/pimentochute-server/src/http_server/connection.rs
+++ b/crates/pimentochute-server/src/http_server/connection.rs
@@ -7,14 +7,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use futures::FutureExt as _;
+use futures::{FutureExt as _, pin_mut};
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::service::{Service as _, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::Watcher;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use viz::{Body, Responder, Tree};
@@ -23,9 +22,10 @@
 use crate::refusal::{Refusal, RefusalCode};
 use crate::settings::HttpSettings;
 
-/// The time after the listener closed in which the first request of a new
-/// connection may still arrive.
-const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+/// The time after the listener closed in which open connections still take a
+/// request. Hyper closes an idle connection at once, even if a request waits
+/// unread in its socket, and so would cut that request.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// The time that a connection over the limit may stay open.
 const REFUSING_TIME: Duration = Duration::from_secs(5);
@@ -71,17 +71,13 @@
             request.uri().path()
         );
         let guard = self.context.gate.enter(what);
-        let mut response = if self.refuses {
+        let response = if self.refuses {
             self.context.metrics.connection_refused(self.name);
             refusal_answer(&self.full())
         } else {
             self.respond(request, remote).await
         };
         drop(guard);
-        if self.refuses || self.context.gate.is_draining() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
-        }
         let took = self.context.clock.now().since(started);
         let status = response.status().as_u16();
         self.context.metrics.answered(self.name, status, took);
@@ -138,7 +134,6 @@
     front: ConnectionFront,
     stream: TcpStream,
     remote: SocketAddr,
-    watcher: Watcher,
     close: CancellationToken,
 ) {
     // Answers are written whole, so waiting for more data only delays them.
@@ -151,28 +146,35 @@
     let service = service_fn(|request| {
         used.store(true, Ordering::SeqCst);
         let front = front.clone();
-        async move { Ok::<_, Infallible>(front.answer(request, remote).await) }
+        let close = close.clone();
+        async move {
+            let mut response = front.answer(request, remote).await;
+            if refuses || close.is_cancelled() || front.context.gate.is_draining() {
+                let value = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, value);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
-    let connection = watcher.watch(builder.serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        result = connection => if let Err(error) = result {
-            log::debug!("http: {name} lost the connection of {remote}: {error}");
-        },
-        () = unused(&used, refuses, &close) => {}
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    pin_mut!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = tokio::time::sleep(REFUSING_TIME), if refuses => Ok(()),
+        () = lingered(&close), if !refuses => {
+            connection.as_mut().graceful_shutdown();
+            if used.load(Ordering::SeqCst) { connection.await } else { Ok(()) }
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("http: {name} lost the connection of {remote}: {error}");
     }
     metrics.connection(name, -1);
 }
 
-/// Ends when the connection is kept open without a request although the
-/// server is stopping or the connection is over the limit.
-async fn unused(used: &AtomicBool, refuses: bool, close: &CancellationToken) {
-    if refuses {
-        tokio::time::sleep(REFUSING_TIME).await;
-    } else {
-        close.cancelled().await;
-        tokio::time::sleep(FIRST_REQUEST_TIME).await;
-    }
-    if used.load(Ordering::SeqCst) && !refuses {
-        futures::future::pending::<()>().await;
-    }
+/// Waits until the server closed and idle connections had time to send a
+/// request that was on its way.
+async fn lingered(close: &CancellationToken) {
+    close.cancelled().await;
+    tokio::time::sleep(LINGER_TIME).await;
 }
