Add invariant checks of the records of workers and endpoints

Cause: the stand-ins record what ran, but nothing compared the records with points 2 and 8 of the design.

Change: task_overlaps finds tasks that ran in two places at once, repeated_requests finds non-idempotent requests that ran more than once. FakeEndpoint can also hang a connect.

--- a/crates/pimentochute-platform/src/log.rs
+++ b/crates/pimentochute-platform/src/log.rs
@@ -19,6 +19,7 @@
     ) -> BoxFuture<'a, Result<LogOffset, AppendError>>;
 
     /// Reads records from `from` on; waits up to `wait` if there are none yet.
+    /// A reader beyond the tail gets no records and a tail below `from`.
     ///
     /// # Errors
     /// Fails if the service does not answer, or no longer has `from`.
--- a/tests/src/fake_endpoint.rs
+++ b/tests/src/fake_endpoint.rs
@@ -64,11 +64,15 @@
     fn connect(
         &self,
         address: SocketAddr,
-        _timeout: MilliSpan,
+        timeout: MilliSpan,
     ) -> BoxFuture<'_, Result<Box<dyn EndpointConnection>, ConnectError>> {
         Box::pin(async move {
             let endpoint = self.endpoints.lock().get(&address).cloned();
             let endpoint = endpoint.ok_or_else(|| refused("no endpoint has this address"))?;
+            if endpoint.state.lock().hangs {
+                tokio::time::sleep(timeout.as_duration()).await;
+                return Err(refused("the fake endpoint does not answer"));
+            }
             let connection = endpoint.open()?;
             Ok(Box::new(connection) as Box<dyn EndpointConnection>)
         })
@@ -88,6 +92,7 @@
     connections: u32,
     open: u32,
     down: bool,
+    hangs: bool,
     fault: EndpointFault,
     latency: MilliSpan,
     next_connection: u64,
@@ -105,6 +110,7 @@
             connections,
             open: 0,
             down: false,
+            hangs: false,
             fault: EndpointFault::None,
             latency: MilliSpan::ZERO,
             next_connection: 0,
@@ -121,6 +127,12 @@
         self.state.lock().down = down;
     }
 
+    /// Makes each attempt to connect take its whole timeout and fail, like a
+    /// host that is gone without a word; open connections work on.
+    pub fn set_hangs(&self, hangs: bool) {
+        self.state.lock().hangs = hangs;
+    }
+
     /// Sets what goes wrong with every request from now on.
     pub fn set_fault(&self, fault: EndpointFault) {
         self.state.lock().fault = fault;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,6 +5,7 @@
 mod fake_endpoint;
 mod fake_log;
 mod fake_worker;
+mod invariants;
 mod raw_server;
 mod shared;
 
@@ -12,4 +13,5 @@
 pub use fake_endpoint::{EndpointFault, FakeDialer, FakeEndpoint};
 pub use fake_log::FakeLog;
 pub use fake_worker::FakeWorkerFleet;
+pub use invariants::{RunOverlap, repeated_requests, task_overlaps};
 pub use raw_server::{RawEnd, RawServer};
--- a/tests/tests/platform_fakes.rs
+++ b/tests/tests/platform_fakes.rs
@@ -191,6 +191,16 @@
     assert_eq!(endpoint.open_connections(), 0);
 }
 
+#[tokio::test]
+async fn hanging_endpoint_takes_the_whole_connect_timeout() {
+    let (dialer, endpoint) = endpoint(8);
+    endpoint.set_hangs(true);
+    let waited = tokio::time::timeout(SHORT.as_duration(), dialer.connect(address(), LONG));
+    assert!(waited.await.is_err());
+    assert!(dialer.connect(address(), SHORT).await.is_err());
+    assert_eq!(endpoint.opened_connections(), 0);
+}
+
 /// Guards against old connections that answer again after they were silenced.
 #[tokio::test]
 async fn silenced_connections_stay_silent_while_new_ones_work() {
