Run the whole path in one process on a fake platform

Cause: nothing had shown that the parts work together. The first run of eight cases found two faults: a host that had just started released its slices again, since it knew no live host yet, and a read of the log waited longer than the age up to which it counts as evidence. Change: TestCell starts entry hosts with a runtime each on fakes; a slice is kept while no live host is known; the follower takes read_wait_ms and read_records from the settings. Ruled out: stuck takeover after a kill came from the test, which left connections of the killed host open; each host now has its own runtime. Conclusion: batch, gang, service, requests, patches, host death, planned stop and an unreachable worker work end to end.

--- a/crates/pimentochute-server/src/control/follower.rs
+++ b/crates/pimentochute-server/src/control/follower.rs
@@ -7,12 +7,10 @@
 use pimentochute_platform::{LogRecord, LogService, ReadError};
 
 use super::health::LogHealth;
+use crate::settings::LogSettings;
 
-/// The most records of one read.
-const MAX_RECORDS: usize = 512;
-
-/// The longest wait of a read for a record to come.
-const READ_WAIT: MilliSpan = MilliSpan::new(1000);
+/// The most snapshots of one read.
+const MAX_SNAPSHOTS: usize = 16;
 
 /// The pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -41,6 +39,7 @@
     snapshots: StreamName,
     target: Arc<dyn FoldTarget>,
     health: Arc<LogHealth>,
+    settings: LogSettings,
 }
 
 impl LogFollower {
@@ -52,6 +51,7 @@
         snapshots: StreamName,
         target: Arc<dyn FoldTarget>,
         health: Arc<LogHealth>,
+        settings: LogSettings,
     ) -> Self {
         Self {
             log,
@@ -60,6 +60,7 @@
             snapshots,
             target,
             health,
+            settings,
         }
     }
 
@@ -79,12 +80,13 @@
     async fn step(&self) -> Result<(), ReadError> {
         let begun = self.clock.now();
         let from = self.target.next_offset();
+        let max_records = usize::try_from(self.settings.read_records).unwrap_or(usize::MAX);
         let wait = if self.health.is_caught_up() {
-            READ_WAIT
+            self.settings.read_wait_ms
         } else {
             MilliSpan::ZERO
         };
-        let batch = match self.log.read(&self.stream, from, MAX_RECORDS, wait).await {
+        let batch = match self.log.read(&self.stream, from, max_records, wait).await {
             Ok(batch) => batch,
             Err(ReadError::BehindRetention { first_retained }) => {
                 return self.skip_to(from, first_retained).await;
@@ -123,7 +125,7 @@
         };
         let read = self
             .log
-            .read(&self.snapshots, from, MAX_RECORDS, MilliSpan::ZERO)
+            .read(&self.snapshots, from, MAX_SNAPSHOTS, MilliSpan::ZERO)
             .await;
         let Ok(batch) = read else { return };
         for record in batch.records.iter().rev() {
--- a/crates/pimentochute-server/src/control/runtime.rs
+++ b/crates/pimentochute-server/src/control/runtime.rs
@@ -306,6 +306,7 @@
             snapshots,
             target,
             Arc::clone(health),
+            self.context.settings.log,
         )
     }
 }
--- a/crates/pimentochute-server/src/control/slices.rs
+++ b/crates/pimentochute-server/src/control/slices.rs
@@ -66,7 +66,11 @@
     /// name the same epoch.
     #[must_use]
     pub fn decide(&self) -> SliceAction {
-        let is_preferred = self.preferred() == Some(self.own.host.as_str());
+        let Some(preferred) = self.preferred() else {
+            // It is not known yet which hosts are live.
+            return SliceAction::Keep;
+        };
+        let is_preferred = preferred == self.own.host.as_str();
         if self.owner == Some(self.own) {
             return if is_preferred {
                 SliceAction::Keep
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,6 +8,8 @@
 mod invariants;
 mod raw_server;
 mod shared;
+mod task_audit;
+mod test_cell;
 
 pub use fake_directory::FakeDirectory;
 pub use fake_endpoint::{EndpointFault, FakeDialer, FakeEndpoint};
@@ -15,3 +17,5 @@
 pub use fake_worker::FakeWorkerFleet;
 pub use invariants::{RunOverlap, repeated_requests, task_overlaps};
 pub use raw_server::{RawEnd, RawServer};
+pub use task_audit::{TaskAudit, TaskViolation};
+pub use test_cell::{TestCell, TestHost, eventually, job_spec, team_operations};
--- /dev/null
+++ b/tests/tests/cell_path.rs
@@ -0,0 +1,209 @@
+//! The whole path in one process: entry hosts with real connections between
+//! them, on a fake platform.
+
+use std::time::Duration;
+
+use pimentochute_base::{MilliSpan, ResourceAmount, WorkKind, WorkerName};
+use pimentochute_route::{RequestOrigin, RoutedRequest};
+use pimentochute_server::DaemonEnd;
+use pimentochute_server::api::{JobStatus, PatchView};
+use pimentochute_state::ConfigPatch;
+use pimentochute_tests::{TaskAudit, TestCell, eventually, job_spec, team_operations};
+
+/// What each worker of these tests has.
+const CAPACITY: ResourceAmount = ResourceAmount::new(4_000, 4_000);
+
+/// Starts a data centre with `hosts` entry hosts and `workers` workers, and a
+/// team `print` that may run 40 tasks.
+async fn small_cell(hosts: usize, workers: usize) -> (TestCell, Vec<WorkerName>) {
+    let mut cell = TestCell::new(&[hosts]);
+    let workers = (0..workers).map(|index| cell.add_worker(0, &format!("w{index}"), CAPACITY));
+    let workers = workers.collect();
+    cell.start_all().await;
+    cell.host(0)
+        .configure("setup", team_operations("print", 40))
+        .await;
+    (cell, workers)
+}
+
+fn audit(cell: &TestCell, workers: &[WorkerName]) -> TaskAudit {
+    let mut audit = TaskAudit::default();
+    for worker in workers {
+        audit.add(worker, &cell.fleet.ledger(worker));
+    }
+    audit
+}
+
+/// Guards against a path that works only on the host that took the job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn batch_job_finishes_once_and_every_host_answers_for_it() {
+    let (cell, workers) = small_cell(3, 2).await;
+    let view = cell
+        .host(1)
+        .submit(job_spec("print", "k1", WorkKind::Batch, 6, "run 200"))
+        .await;
+    for host in cell.running() {
+        host.wait_for(view.id, JobStatus::Succeeded).await;
+    }
+    let audit = audit(&cell, &workers);
+    assert_eq!(audit.violations(&[]), []);
+    assert!((0..6).all(|task| audit.starts(view.id, task) == 1));
+}
+
+/// Guards against a gang that starts in part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gang_starts_whole_and_service_runs_until_cancelled() {
+    let (cell, workers) = small_cell(2, 2).await;
+    let host = cell.host(0);
+    let gang = host
+        .submit(job_spec("print", "g", WorkKind::Gang, 4, "run 300"))
+        .await;
+    let service = host
+        .submit(job_spec("print", "s", WorkKind::Service, 2, "forever"))
+        .await;
+    host.wait_for(gang.id, JobStatus::Succeeded).await;
+    host.wait_for(service.id, JobStatus::Running).await;
+    let cancelled = cell.host(1).control.cancel(service.id).await;
+    assert!(matches!(cancelled, Ok(Some(_))), "{cancelled:?}");
+    host.wait_for(service.id, JobStatus::Cancelled).await;
+    assert_eq!(audit(&cell, &workers).violations(&[gang.id]), []);
+}
+
+/// Guards against a repeated submission making a second job.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeated_submission_on_another_host_is_the_same_job() {
+    let (cell, workers) = small_cell(2, 1).await;
+    let spec = job_spec("print", "k", WorkKind::Batch, 1, "run 50");
+    let first = cell.host(0).submit(spec.clone()).await;
+    let second = cell.host(1).submit(spec).await;
+    assert_eq!(first.id, second.id);
+    cell.host(0).wait_for(first.id, JobStatus::Succeeded).await;
+    assert_eq!(audit(&cell, &workers).starts(first.id, 0), 1);
+}
+
+/// Guards against two operators both being told that they were first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn racing_patches_have_one_winner() {
+    let (cell, _) = small_cell(2, 0).await;
+    eventually("both hosts have the version", || {
+        let versions: Vec<_> = cell.running().map(|h| h.control.config().version).collect();
+        versions
+            .iter()
+            .all(|version| *version == versions[0])
+            .then_some(())
+    })
+    .await;
+    let base_version = cell.host(0).control.config().version;
+    let patch = |id: &str| ConfigPatch {
+        id: id.parse().expect("valid name"),
+        base_version,
+        author: "test".to_owned(),
+        operations: team_operations(id, 5),
+    };
+    let (first, second) = tokio::join!(
+        cell.host(0).control.patch(patch("a")),
+        cell.host(1).control.patch(patch("b")),
+    );
+    let answers = [first.expect("outcome"), second.expect("outcome")];
+    let accepted = answers
+        .iter()
+        .filter(|a| matches!(a, PatchView::Accepted { .. }))
+        .count();
+    assert_eq!(accepted, 1, "{answers:?}");
+}
+
+/// Guards against jobs that are stuck or run twice when the host that owns
+/// their slice, manages their workers and writes for all others dies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_finish_once_although_hosts_die() {
+    let (mut cell, workers) = small_cell(3, 3).await;
+    let view = cell
+        .host(0)
+        .submit(job_spec("print", "k", WorkKind::Batch, 24, "run 900"))
+        .await;
+    cell.host(2).wait_for(view.id, JobStatus::Running).await;
+    cell.kill(0);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cell.kill(1);
+    cell.host(2).wait_for(view.id, JobStatus::Succeeded).await;
+    assert_eq!(audit(&cell, &workers).violations(&[]), []);
+}
+
+/// Guards against a planned stop that leaves slices or workers to time-outs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopped_host_hands_over_and_tasks_run_on() {
+    let (mut cell, workers) = small_cell(2, 2).await;
+    let view = cell
+        .host(0)
+        .submit(job_spec("print", "k", WorkKind::Batch, 4, "run 1500"))
+        .await;
+    cell.host(1).wait_for(view.id, JobStatus::Running).await;
+    assert_eq!(cell.stop(0).await, DaemonEnd::Clean);
+    let done = cell.host(1).wait_for(view.id, JobStatus::Succeeded).await;
+    assert!(done.tasks.iter().all(|task| task.attempt == 1), "{done:?}");
+    assert_eq!(audit(&cell, &workers).violations(&[]), []);
+}
+
+/// Guards against a task that is placed elsewhere while it still runs on a
+/// worker that no host can reach.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_of_an_unreachable_worker_move_after_their_leases() {
+    let (cell, workers) = small_cell(2, 2).await;
+    let host = cell.host(0);
+    let view = host
+        .submit(job_spec("print", "k", WorkKind::Batch, 8, "run 4000"))
+        .await;
+    eventually("all tasks run", || {
+        let view = host.control.job(view.id)?;
+        view.tasks
+            .iter()
+            .all(|task| task.status == "running")
+            .then_some(())
+    })
+    .await;
+    cell.fleet.set_unreachable(&workers[0], true);
+    eventually("the worker is lost", || {
+        let views = host.control.workers();
+        views
+            .iter()
+            .any(|worker| worker.status == "lost")
+            .then_some(())
+    })
+    .await;
+    cell.fleet.set_unreachable(&workers[0], false);
+    host.wait_for(view.id, JobStatus::Succeeded).await;
+    assert_eq!(audit(&cell, &workers).violations(&[]), []);
+}
+
+/// Guards against answers of requests going missing on the way through a
+/// second host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_answered_by_every_host() {
+    let mut cell = TestCell::new(&[3]);
+    let endpoint = cell.add_endpoint(0, "e0", 2);
+    cell.start_all().await;
+    cell.host(0)
+        .configure("setup", team_operations("print", 4))
+        .await;
+    for (index, host) in cell.running().enumerate() {
+        let request = RoutedRequest {
+            id: format!("request-{index}"),
+            team: "print".parse().expect("valid name"),
+            service: "prices".parse().expect("valid name"),
+            idempotent: false,
+            deadline: MilliSpan::new(5_000),
+            origin: RequestOrigin::Caller,
+            body: format!("tea towel {index}").into_bytes().into(),
+        };
+        let answer = loop {
+            // The host may not have the host list or the configuration yet.
+            match host.route.route(request.clone()).await {
+                Ok(answer) => break answer,
+                Err(error) => assert!(error.is_not_run(), "{error}"),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+        assert_eq!(answer.body, request.body);
+    }
+    assert_eq!(endpoint.ledger().runs.len(), 3);
+}
