--- a/crates/pimentochute-schedule/src/job_table.rs
+++ b/crates/pimentochute-schedule/src/job_table.rs
@@ -32,8 +32,9 @@
     pub ready: BTreeMap<TaskIndex, WaitingTask>,
     /// The tasks that may be placed from a later time on.
     pub later: BTreeMap<(MilliTime, TaskIndex), WaitingTask>,
-    /// The tasks decided and neither committed nor revoked.
-    pub reserved: u32,
+    /// The tasks decided that wait again if the decision is revoked; not
+    /// those that the job was replaced without.
+    pub reserved: BTreeSet<TaskIndex>,
     /// Whether the job is in the `due` set of its team.
     pub queued: bool,
     /// The time under which the job is in the wake list, if it is.
--- a/crates/pimentochute-schedule/src/placer.rs
+++ b/crates/pimentochute-schedule/src/placer.rs
@@ -1,6 +1,6 @@
 //! The placer: what it is told. The decisions are in `decide`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pimentochute_base::{
     AttemptRef, JobId, MilliTime, ResourceAmount, TaskIndex, TeamName, WorkKind, WorkerName,
@@ -192,7 +192,7 @@
             if let Some(placed) = self.placements.get_mut(key) {
                 placed.reserved = None;
                 self.placements.reserved_count -= 1;
-                self.count_reserved(decision.job, -1);
+                self.note_settled(decision.job, attempt.task);
             }
         }
         if let Some(key) = self.jobs.find(decision.job) {
@@ -255,9 +255,13 @@
         let Some(key) = self.reserved_key(attempt) else {
             return false;
         };
-        let waiting = self.vacate(key).and_then(|placed| placed.reserved);
         let job = self.jobs.find(attempt.job);
-        if let (Some(waiting), Some(job)) = (waiting, job.and_then(|key| self.jobs.get_mut(key))) {
+        let listed = job.and_then(|job| self.jobs.get(job));
+        let listed = listed.is_some_and(|job| job.reserved.contains(&attempt.task));
+        let waiting = self.vacate(key).and_then(|placed| placed.reserved);
+        if let (true, Some(waiting)) = (listed, waiting)
+            && let Some(job) = job.and_then(|job| self.jobs.get_mut(job))
+        {
             job.add_task(*waiting);
         }
         true
@@ -272,7 +276,10 @@
             state.used += placed.demand;
         }
         if placed.reserved.is_some() {
-            self.count_reserved(placed.job, 1);
+            let key = self.jobs.find(placed.job);
+            if let Some(job) = key.and_then(|key| self.jobs.get_mut(key)) {
+                job.reserved.insert(placed.task);
+            }
         }
         self.placements.insert(placed);
         self.refresh_team(team);
@@ -334,16 +341,17 @@
             state.used = state.used.saturating_sub(&placed.demand);
         }
         if placed.reserved.is_some() {
-            self.count_reserved(placed.job, -1);
+            self.note_settled(placed.job, placed.task);
         }
         self.refresh_team(placed.team);
         Some(placed)
     }
 
-    fn count_reserved(&mut self, job: JobId, change: i32) {
+    /// Notes that a task is no longer reserved.
+    fn note_settled(&mut self, job: JobId, task: TaskIndex) {
         let key = self.jobs.find(job);
         if let Some(state) = key.and_then(|key| self.jobs.get_mut(key)) {
-            state.reserved = state.reserved.saturating_add_signed(change);
+            state.reserved.remove(&task);
         }
     }
 
@@ -396,7 +404,7 @@
             rank: self.settings.job_order.rank(&times),
             ready: BTreeMap::new(),
             later: BTreeMap::new(),
-            reserved: 0,
+            reserved: BTreeSet::new(),
             queued: false,
             wake: None,
             tried_gains: None,
@@ -413,7 +421,7 @@
                 if let Some(placed) = self.placements.get_mut(key)
                     && let Some(waiting) = &mut placed.reserved
                 {
-                    job.reserved += 1;
+                    job.reserved.insert(task.task);
                     if attempt == task.attempt {
                         **waiting = task;
                     }
@@ -440,7 +448,7 @@
 
     /// Forgets a job of which no task waits or may wait again.
     fn drop_if_idle(&mut self, key: JobKey) {
-        let idle = |job: &JobState| job.waiting_count() == 0 && job.reserved == 0;
+        let idle = |job: &JobState| job.waiting_count() == 0 && job.reserved.is_empty();
         if self.jobs.get(key).is_some_and(idle) {
             self.detach(key);
         }
--- a/crates/pimentochute-schedule/src/worker_choice.rs
+++ b/crates/pimentochute-schedule/src/worker_choice.rs
@@ -143,7 +143,7 @@
         let mut probes = self.workers.probes.iter().copied();
         probes.find(|worker| {
             let state = self.workers.get(*worker);
-            let fits = state.is_some_and(|s| s.admits_probe() && job.demand.fits_within(&s.free()));
+            let fits = state.is_some_and(|s| s.admits_probe() && s.has_room(&job.demand));
             fits && !avoid.contains(worker)
         })
     }
@@ -164,7 +164,7 @@
         avoid.iter().copied().find(|worker| {
             self.workers.get(*worker).is_some_and(|state| {
                 let usable = state.known && state.readiness == WorkerReadiness::Usable;
-                usable && !state.held && job.demand.fits_within(&state.free())
+                usable && !state.held && state.has_room(&job.demand)
             })
         })
     }
--- a/crates/pimentochute-schedule/src/worker_table.rs
+++ b/crates/pimentochute-schedule/src/worker_table.rs
@@ -46,6 +46,13 @@
         self.capacity.saturating_sub(&self.used)
     }
 
+    /// Tells whether all tasks and one of `demand` fit. A worker that shrank
+    /// below what its tasks use takes none, even of another resource: a
+    /// record is valid only if the whole sum fits.
+    pub fn has_room(&self, demand: &ResourceAmount) -> bool {
+        (self.used + *demand).fits_within(&self.capacity)
+    }
+
     /// Tells whether a probe worker may be given a task.
     pub fn admits_probe(&self) -> bool {
         self.known && self.readiness == WorkerReadiness::Probe && self.probe_tasks == 0
@@ -216,7 +223,9 @@
         let Some(state) = self.workers.get(key) else {
             return;
         };
-        let usable = state.known && state.readiness == WorkerReadiness::Usable;
+        let usable = state.known
+            && state.readiness == WorkerReadiness::Usable
+            && state.used.fits_within(&state.capacity);
         let free = state.free();
         if usable && state.held {
             self.open.remove(key);
--- a/tests/tests/schedule_focused.rs
+++ b/tests/tests/schedule_focused.rs
@@ -233,6 +233,37 @@
     assert!(placer.decide(at(1), 10).is_empty());
 }
 
+/// Guards against decisions for a worker that shrank below what its tasks
+/// use: every record of them would be invalid.
+#[test]
+fn an_overcommitted_worker_is_given_nothing() {
+    let mut placer = placer(0, 0);
+    let mut spec = worker_spec("w0", "r0", 4);
+    spec.capacity = spec.capacity.with_accelerators(1);
+    placer.set_worker(spec);
+    let mut task = committed("j", 0, 1, "w0", 1);
+    task.demand = task.demand.with_accelerators(1);
+    placer.commit(task);
+    placer.set_worker(worker_spec("w0", "r0", 4));
+    placer.add_job(batch("k", "a", 1, 1));
+    assert!(placer.decide(at(0), 10).is_empty());
+    placer.release(attempt_of("j", 0, 1));
+    assert_eq!(task_count(&placer.decide(at(1), 10)), 1);
+}
+
+/// Guards against a task that comes back although its job no longer has it.
+#[test]
+fn a_revoked_task_that_the_job_lost_does_not_return() {
+    let mut placer = placer(1, 4);
+    placer.add_job(batch("j", "a", 2, 1));
+    let decisions = placer.decide(at(0), 10);
+    placer.update_job(batch("j", "a", 1, 1));
+    placer.revoke(&decisions[0]);
+    let decisions = placer.decide(at(1), 10);
+    assert_eq!(task_count(&decisions), 1);
+    assert_eq!(decisions[0].tasks[0].task, TaskIndex::new(0));
+}
+
 /// Guards against a gang that starts in part.
 #[test]
 fn a_gang_is_placed_whole_or_not_at_all() {
