--- a/crates/pimentochute-schedule/src/placer.rs
+++ b/crates/pimentochute-schedule/src/placer.rs
@@ -1,6 +1,6 @@
 //! The placer: what it is told. The decisions are in `decide`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pimentochute_base::{
     AttemptRef, JobId, MilliTime, ResourceAmount, TaskIndex, TeamName, WorkKind, WorkerName,
@@ -10,6 +10,7 @@
 use crate::hold::RoomHold;
 use crate::job_table::{JobKey, JobState, JobTable};
 use crate::placement_table::{PlacedKey, PlacedTask, PlacementTable};
+use crate::shape_table::{JobShape, ShapeTable};
 use crate::share_scale::bounded;
 use crate::team_table::{TeamKey, TeamTable};
 use crate::worker_table::WorkerTable;
@@ -35,6 +36,7 @@
     pub(crate) workers: WorkerTable,
     pub(crate) teams: TeamTable,
     pub(crate) jobs: JobTable,
+    pub(crate) shapes: ShapeTable,
     pub(crate) placements: PlacementTable,
     pub(crate) hold: RoomHold,
     /// Whether the ranks of all teams are out of date.
@@ -52,6 +54,7 @@
             workers: WorkerTable::default(),
             teams: TeamTable::default(),
             jobs: JobTable::default(),
+            shapes: ShapeTable::default(),
             placements: PlacementTable::default(),
             hold: RoomHold::default(),
             stale_ranks: false,
@@ -192,7 +195,7 @@
             if let Some(placed) = self.placements.get_mut(key) {
                 placed.reserved = None;
                 self.placements.reserved_count -= 1;
-                self.count_reserved(decision.job, -1);
+                self.note_settled(decision.job, attempt.task);
             }
         }
         if let Some(key) = self.jobs.find(decision.job) {
@@ -255,9 +258,13 @@
         let Some(key) = self.reserved_key(attempt) else {
             return false;
         };
-        let waiting = self.vacate(key).and_then(|placed| placed.reserved);
         let job = self.jobs.find(attempt.job);
-        if let (Some(waiting), Some(job)) = (waiting, job.and_then(|key| self.jobs.get_mut(key))) {
+        let listed = job.and_then(|job| self.jobs.get(job));
+        let listed = listed.is_some_and(|job| job.reserved.contains(&attempt.task));
+        let waiting = self.vacate(key).and_then(|placed| placed.reserved);
+        if let (true, Some(waiting)) = (listed, waiting)
+            && let Some(job) = job.and_then(|job| self.jobs.get_mut(job))
+        {
             job.add_task(*waiting);
         }
         true
@@ -272,7 +279,10 @@
             state.used += placed.demand;
         }
         if placed.reserved.is_some() {
-            self.count_reserved(placed.job, 1);
+            let key = self.jobs.find(placed.job);
+            if let Some(job) = key.and_then(|key| self.jobs.get_mut(key)) {
+                job.reserved.insert(placed.task);
+            }
         }
         self.placements.insert(placed);
         self.refresh_team(team);
@@ -290,12 +300,12 @@
         }
         job.queued = due;
         let entry = (job.rank, key);
-        let (team, class) = (job.team, class_index(job.priority));
+        let (team, class, shape) = (job.team, class_index(job.priority), job.shape);
         if let Some(state) = self.teams.get_mut(team) {
             if due {
-                state.due[class].insert(entry);
+                state.add_due(class, shape, entry);
             } else {
-                state.due[class].remove(&entry);
+                state.drop_due(class, shape, entry);
             }
         }
         self.refresh_team(team);
@@ -334,16 +344,17 @@
             state.used = state.used.saturating_sub(&placed.demand);
         }
         if placed.reserved.is_some() {
-            self.count_reserved(placed.job, -1);
+            self.note_settled(placed.job, placed.task);
         }
         self.refresh_team(placed.team);
         Some(placed)
     }
 
-    fn count_reserved(&mut self, job: JobId, change: i32) {
+    /// Notes that a task is no longer reserved.
+    fn note_settled(&mut self, job: JobId, task: TaskIndex) {
         let key = self.jobs.find(job);
         if let Some(state) = key.and_then(|key| self.jobs.get_mut(key)) {
-            state.reserved = state.reserved.saturating_add_signed(change);
+            state.reserved.remove(&task);
         }
     }
 
@@ -379,27 +390,31 @@
         })
     }
 
-    fn new_state(&self, job: &WaitingJob, team: TeamKey) -> JobState {
+    fn new_state(&mut self, job: &WaitingJob, team: TeamKey) -> JobState {
         let times = JobTimes {
             submitted: job.submitted,
             expected_run: job.expected_run,
             finish_by: job.finish_by,
         };
+        let shape = JobShape {
+            demand: bounded(job.demand),
+            gang: job.kind == WorkKind::Gang,
+        };
         JobState {
             id: job.job,
             team,
             kind: job.kind,
             priority: job.priority,
-            demand: bounded(job.demand),
+            demand: shape.demand,
+            shape: self.shapes.join(shape),
             task_count: job.task_count,
             times,
             rank: self.settings.job_order.rank(&times),
             ready: BTreeMap::new(),
             later: BTreeMap::new(),
-            reserved: 0,
+            reserved: BTreeSet::new(),
             queued: false,
             wake: None,
-            tried_gains: None,
             hold_after: MilliTime::ZERO,
         }
     }
@@ -413,7 +428,7 @@
                 if let Some(placed) = self.placements.get_mut(key)
                     && let Some(waiting) = &mut placed.reserved
                 {
-                    job.reserved += 1;
+                    job.reserved.insert(task.task);
                     if attempt == task.attempt {
                         **waiting = task;
                     }
@@ -431,16 +446,17 @@
     fn detach(&mut self, key: JobKey) -> Option<JobState> {
         let job = self.jobs.remove(key)?;
         if let Some(state) = self.teams.get_mut(job.team) {
-            state.due[class_index(job.priority)].remove(&(job.rank, key));
+            state.drop_due(class_index(job.priority), job.shape, (job.rank, key));
             state.jobs = state.jobs.saturating_sub(1);
         }
+        self.shapes.leave(job.shape);
         self.refresh_team(job.team);
         Some(job)
     }
 
     /// Forgets a job of which no task waits or may wait again.
     fn drop_if_idle(&mut self, key: JobKey) {
-        let idle = |job: &JobState| job.waiting_count() == 0 && job.reserved == 0;
+        let idle = |job: &JobState| job.waiting_count() == 0 && job.reserved.is_empty();
         if self.jobs.get(key).is_some_and(idle) {
             self.detach(key);
         }
--- a/crates/pimentochute-schedule/src/worker_choice.rs
+++ b/crates/pimentochute-schedule/src/worker_choice.rs
@@ -96,6 +96,7 @@
         round: &mut DecisionRound,
     ) -> Option<WorkerKey> {
         let start = self.hold.expected_start()?;
+        round.backfill_tries = round.backfill_tries.checked_sub(1)?;
         let ends = round.now + job.times.expected_run?;
         if job.kind != WorkKind::Batch || ends > start || round.no_backfill.covers(&job.demand) {
             return None;
@@ -143,7 +144,7 @@
         let mut probes = self.workers.probes.iter().copied();
         probes.find(|worker| {
             let state = self.workers.get(*worker);
-            let fits = state.is_some_and(|s| s.admits_probe() && job.demand.fits_within(&s.free()));
+            let fits = state.is_some_and(|s| s.admits_probe() && s.has_room(&job.demand));
             fits && !avoid.contains(worker)
         })
     }
@@ -164,7 +165,7 @@
         avoid.iter().copied().find(|worker| {
             self.workers.get(*worker).is_some_and(|state| {
                 let usable = state.known && state.readiness == WorkerReadiness::Usable;
-                usable && !state.held && job.demand.fits_within(&state.free())
+                usable && !state.held && state.has_room(&job.demand)
             })
         })
     }
--- a/crates/pimentochute-schedule/src/worker_table.rs
+++ b/crates/pimentochute-schedule/src/worker_table.rs
@@ -46,6 +46,13 @@
         self.capacity.saturating_sub(&self.used)
     }
 
+    /// Tells whether all tasks and one of `demand` fit. A worker that shrank
+    /// below what its tasks use takes none, even of another resource: a
+    /// record is valid only if the whole sum fits.
+    pub fn has_room(&self, demand: &ResourceAmount) -> bool {
+        (self.used + *demand).fits_within(&self.capacity)
+    }
+
     /// Tells whether a probe worker may be given a task.
     pub fn admits_probe(&self) -> bool {
         self.known && self.readiness == WorkerReadiness::Probe && self.probe_tasks == 0
@@ -73,8 +80,6 @@
     scale: ShareScale,
     /// The sum of `used` over all workers.
     pub used: ResourceAmount,
-    /// Counts the changes after which a task may fit that did not fit before.
-    pub gains: u64,
 }
 
 impl WorkerTable {
@@ -108,6 +113,12 @@
         self.total
     }
 
+    /// Tells whether a quarantined worker needs a probe and has room for it.
+    pub fn probes_fit(&self, demand: &ResourceAmount) -> bool {
+        let mut probes = self.probes.iter().filter_map(|key| self.workers.get(*key));
+        probes.any(|state| state.admits_probe() && state.has_room(demand))
+    }
+
     /// Adds or replaces a worker.
     pub fn set(&mut self, spec: WorkerSpec) {
         let rack = self.rack_key(spec.rack);
@@ -129,7 +140,6 @@
         state.readiness = spec.readiness;
         state.known = true;
         self.recount(key);
-        self.gains += 1;
         self.scale = ShareScale::new(&self.total);
     }
 
@@ -194,7 +204,6 @@
         state.used = state.used.saturating_sub(demand);
         state.tasks = state.tasks.saturating_sub(1);
         self.used = self.used.saturating_sub(demand);
-        self.gains += 1;
         if era == Some(state.probe_era) {
             state.probe_tasks = state.probe_tasks.saturating_sub(1);
         }
@@ -206,7 +215,6 @@
     pub fn hold(&mut self, key: WorkerKey, held: bool) {
         if let Some(state) = self.workers.get_mut(key) {
             state.held = held;
-            self.gains += 1;
             self.reindex(key);
         }
     }
@@ -216,7 +224,9 @@
         let Some(state) = self.workers.get(key) else {
             return;
         };
-        let usable = state.known && state.readiness == WorkerReadiness::Usable;
+        let usable = state.known
+            && state.readiness == WorkerReadiness::Usable
+            && state.used.fits_within(&state.capacity);
         let free = state.free();
         if usable && state.held {
             self.open.remove(key);
