--- /dev/null
+++ b/crates/pimentochute-cli/src/api_client.rs
@@ -0,0 +1,223 @@
+//! Calls to an entry host.
+
+use std::fs;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use pimentochute_server::Refusal;
+use pimentochute_server::settings::HostPort;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::exit::CliError;
+use crate::flags::CommonFlags;
+
+/// The environment variable that holds the key.
+const KEY_VARIABLE: &str = "PIMENTOCHUTE_KEY";
+
+/// The time limit for opening a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+
+/// The time limit of a call; hosts wait up to 5 s for the log by default.
+pub const CALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// Calls one entry host with the caller's key.
+pub struct ApiClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    server: HostPort,
+    key: Option<String>,
+}
+
+/// A call to be made.
+pub struct ApiCall<'a> {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The headers beside the key.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The time limit.
+    pub limit: Duration,
+}
+
+/// An answer read whole.
+pub struct ApiAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl ApiClient {
+    /// Creates a client from the flags and the environment.
+    pub fn new(flags: &CommonFlags) -> Result<Self, CliError> {
+        let server = flags.server.as_deref().ok_or_else(|| {
+            CliError::usage("--server is missing", "give the address of an entry host")
+        })?;
+        let server = server.strip_prefix("http://").unwrap_or(server);
+        let server = HostPort::new(server.trim_end_matches('/'))
+            .map_err(|error| CliError::usage(error.to_string(), "give --server HOST:PORT"))?;
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        Ok(Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            server,
+            key: read_key(flags)?,
+        })
+    }
+
+    /// Gets a page.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        self.call_json(Method::GET, path, Bytes::new()).await
+    }
+
+    /// Sends a value to a page.
+    pub async fn post<Q: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        value: &Q,
+    ) -> Result<T, CliError> {
+        self.call_json(Method::POST, path, json_bytes(value)?).await
+    }
+
+    /// Calls a page whose answer is JSON.
+    pub async fn call_json<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, CliError> {
+        let changes = method != Method::GET;
+        let headers = HeaderMap::new();
+        let limit = CALL_LIMIT;
+        let call = ApiCall {
+            method,
+            path,
+            headers,
+            body,
+            limit,
+        };
+        let answer = self.call(call).await?;
+        if answer.status != StatusCode::OK {
+            return Err(self.refusal_of(&answer, changes));
+        }
+        serde_json::from_slice(&answer.body).map_err(|error| self.broken(&error, changes))
+    }
+
+    /// Makes a call and reads the whole answer.
+    pub async fn call(&self, call: ApiCall<'_>) -> Result<ApiAnswer, CliError> {
+        let changes = call.method != Method::GET;
+        let limit = call.limit;
+        let exchange = self.exchange(call, changes);
+        match timeout(limit, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.broken(&format!("no answer within {limit:?}"), changes)),
+        }
+    }
+
+    async fn exchange(&self, call: ApiCall<'_>, changes: bool) -> Result<ApiAnswer, CliError> {
+        let request = self.request(call)?;
+        let answer = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                CliError::Unreachable {
+                    server: self.server.to_string(),
+                    detail: root_cause(&error),
+                }
+            } else {
+                self.broken(&root_cause(&error), changes)
+            }
+        })?;
+        let (status, headers) = (answer.status(), answer.headers().clone());
+        let body = answer.into_body().collect().await;
+        let body = body.map_err(|error| self.broken(&error, changes))?;
+        let body = body.to_bytes();
+        Ok(ApiAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+
+    fn request(&self, call: ApiCall<'_>) -> Result<Request<Full<Bytes>>, CliError> {
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(format!("http://{}{}", self.server, call.path))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+            .map_err(|error| CliError::usage(error.to_string(), "check the arguments"))?;
+        request.headers_mut().extend(call.headers);
+        if let Some(key) = &self.key {
+            let bearer = HeaderValue::from_str(&format!("Bearer {key}"));
+            let mut bearer = bearer.map_err(|_| {
+                let detail = "the key holds characters that cannot be sent";
+                CliError::usage(detail, "check --key-file or PIMENTOCHUTE_KEY")
+            })?;
+            bearer.set_sensitive(true);
+            request.headers_mut().insert(AUTHORIZATION, bearer);
+        }
+        Ok(request)
+    }
+
+    /// Reads the refusal of an answer.
+    pub fn refusal_of(&self, answer: &ApiAnswer, changes: bool) -> CliError {
+        match serde_json::from_slice::<Refusal>(&answer.body) {
+            Ok(source) => CliError::Refused { source },
+            Err(_) => self.broken(&format!("status {}", answer.status), changes),
+        }
+    }
+
+    fn broken(&self, detail: &dyn ToString, changes: bool) -> CliError {
+        CliError::Broken {
+            server: self.server.to_string(),
+            detail: detail.to_string(),
+            changes,
+        }
+    }
+}
+
+/// Writes a value as JSON.
+pub fn json_bytes<T: Serialize>(value: &T) -> Result<Bytes, CliError> {
+    let bytes = serde_json::to_vec(value).map_err(|error| CliError::System {
+        what: "writing JSON",
+        detail: error.to_string(),
+    })?;
+    Ok(Bytes::from(bytes))
+}
+
+/// Returns the key of the file or of the environment.
+fn read_key(flags: &CommonFlags) -> Result<Option<String>, CliError> {
+    let text = match &flags.key_file {
+        Some(path) => Some(fs::read_to_string(path).map_err(|source| CliError::File {
+            path: path.clone(),
+            source,
+        })?),
+        None => std::env::var(KEY_VARIABLE).ok(),
+    };
+    match text.map(|text| text.trim().to_owned()) {
+        Some(key) if key.is_empty() => {
+            let hint = "write the secret into --key-file or PIMENTOCHUTE_KEY";
+            Err(CliError::usage("the key is empty", hint))
+        }
+        key => Ok(key),
+    }
+}
+
+/// Returns the innermost message; the outer ones only say "client error".
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/pimentochute-cli/src/commands.rs
@@ -0,0 +1,112 @@
+//! The commands.
+
+mod config;
+mod host;
+mod job;
+mod key;
+mod patch;
+mod queue;
+mod request;
+mod run;
+mod team;
+
+use std::ffi::OsString;
+use std::fs;
+use std::io::{self, Read as _};
+use std::path::Path;
+
+use tokio::runtime::{Builder, Runtime};
+
+use crate::exit::{CliError, ExitStatus};
+use crate::flags::OVERVIEW;
+use crate::output::print_bytes;
+
+/// Runs the command of the command line.
+pub fn run(arguments: Vec<OsString>) -> Result<ExitStatus, CliError> {
+    let name = arguments.first().and_then(|name| name.to_str());
+    match name {
+        Some("serve" | "check") => run::run(arguments),
+        Some("config") => config::run(rest(arguments)),
+        Some("team") => team::run(rest(arguments)),
+        Some("key") => key::run(rest(arguments)),
+        Some("queue") => queue::run(rest(arguments)),
+        Some("status" | "workers" | "endpoints") => host::run(arguments),
+        Some("request") => request::run(rest(arguments)),
+        Some("job") => job::run(rest(arguments)),
+        Some("help" | "--help" | "-h") => {
+            print_bytes(OVERVIEW.as_bytes())?;
+            Ok(ExitStatus::Success)
+        }
+        Some(other) => Err(CliError::usage(
+            format!("there is no command {other:?}"),
+            "see pimentochute --help",
+        )),
+        None => Err(CliError::usage(
+            "a command is missing",
+            "see pimentochute --help",
+        )),
+    }
+}
+
+fn rest(mut arguments: Vec<OsString>) -> Vec<OsString> {
+    arguments.remove(0);
+    arguments
+}
+
+/// Unwraps parsed flags; a demand for help is printed and ends the command.
+macro_rules! parsed {
+    ($result:expr) => {
+        match $result {
+            Ok(flags) => flags,
+            Err(error) if error.is_help() => {
+                crate::output::print_line(&error.to_string())?;
+                return Ok(crate::exit::ExitStatus::Success);
+            }
+            Err(error) => {
+                // Some messages bring a hint of their own.
+                let text = error.to_string().replace("; hint: ", ", ");
+                let hint = "add --help to the command";
+                return Err(crate::exit::CliError::usage(text, hint));
+            }
+        }
+    };
+}
+
+use parsed;
+
+/// Creates the runtime of a command that calls a host.
+fn caller_runtime() -> Result<Runtime, CliError> {
+    let built = Builder::new_current_thread().enable_all().build();
+    built.map_err(|error| CliError::System {
+        what: "starting the runtime",
+        detail: error.to_string(),
+    })
+}
+
+/// Reads a file, or the standard input for `-`.
+fn read_input(path: &Path) -> Result<Vec<u8>, CliError> {
+    let read = if path.as_os_str() == "-" {
+        let mut content = Vec::new();
+        let read = io::stdin().lock().read_to_end(&mut content);
+        read.map(|_| content)
+    } else {
+        fs::read(path)
+    };
+    read.map_err(|source| CliError::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Returns random bytes as hexadecimal digits.
+fn random_hex<const N: usize>() -> Result<String, CliError> {
+    let mut bytes = [0; N];
+    getrandom::fill(&mut bytes).map_err(|error| CliError::System {
+        what: "reading random bytes",
+        detail: error.to_string(),
+    })?;
+    let digits = bytes.iter().flat_map(|byte| [byte >> 4, byte & 0xf]);
+    Ok(digits
+        .filter_map(|digit| char::from_digit(digit.into(), 16))
+        .collect())
+}
--- /dev/null
+++ b/crates/pimentochute-cli/src/commands/config.rs
@@ -0,0 +1,86 @@
+//! `config`.
+
+use std::ffi::OsString;
+use std::path::Path;
+
+use pimentochute_server::api::{HistoryView, PatchView};
+use pimentochute_state::{CellConfig, ConfigPatch};
+
+use super::patch::send_patch;
+use super::{caller_runtime, parsed, read_input};
+use crate::api_client::ApiClient;
+use crate::exit::{CliError, ExitStatus};
+use crate::flags::common_flags;
+use crate::flags::config::{Config, ConfigCmd};
+use crate::output::{print_json, print_line, print_table};
+
+pub fn run(arguments: Vec<OsString>) -> Result<ExitStatus, CliError> {
+    let mut flags = parsed!(Config::from_vec(arguments));
+    let common = common_flags!(flags);
+    let json = common.json;
+    let client = ApiClient::new(&common)?;
+    let runtime = caller_runtime()?;
+    match flags.subcommand {
+        ConfigCmd::Show(show) => {
+            let query = show.version.map(|version| format!("?version={version}"));
+            let path = format!("/v1/config{}", query.unwrap_or_default());
+            let config: CellConfig = runtime.block_on(client.get(&path))?;
+            print_config(&config, json)?;
+        }
+        ConfigCmd::History(_) => {
+            let history: Vec<HistoryView> = runtime.block_on(client.get("/v1/config/history"))?;
+            print_history(&history, json)?;
+        }
+        ConfigCmd::Patch(patch) => {
+            let patch = read_patch(&patch.file)?;
+            let version = runtime.block_on(send_patch(&client, &patch))?;
+            print_accepted(version, json)?;
+        }
+    }
+    Ok(ExitStatus::Success)
+}
+
+fn read_patch(path: &Path) -> Result<ConfigPatch, CliError> {
+    let text = read_input(path)?;
+    serde_json::from_slice(&text).map_err(|error| CliError::Content {
+        path: path.to_owned(),
+        detail: error.to_string(),
+    })
+}
+
+/// Prints the version that a patch made.
+pub fn print_accepted(version: u64, json: bool) -> Result<(), CliError> {
+    if json {
+        return print_json(&serde_json::json!({"outcome": "accepted", "version": version}));
+    }
+    print_line(&format!("accepted: version {version} is in force"))
+}
+
+fn print_config(config: &CellConfig, json: bool) -> Result<(), CliError> {
+    if json {
+        return print_json(config);
+    }
+    print_line(&format!("version {}\n", config.version))?;
+    super::team::print_teams(config)?;
+    print_line("")?;
+    super::queue::print_queues(config)?;
+    print_line("")?;
+    super::key::print_keys(config)
+}
+
+fn print_history(history: &[HistoryView], json: bool) -> Result<(), CliError> {
+    if json {
+        return print_json(&history);
+    }
+    let row = |entry: &HistoryView| {
+        let outcome = match &entry.result {
+            PatchView::Accepted { version } => format!("accepted, version {version}"),
+            PatchView::Rejected { current, reason } => {
+                format!("rejected at version {current}: {reason}")
+            }
+        };
+        vec![entry.patch.to_string(), entry.author.clone(), outcome]
+    };
+    let rows: Vec<_> = history.iter().map(row).collect();
+    print_table(&["PATCH", "AUTHOR", "OUTCOME"], &rows)
+}
--- /dev/null
+++ b/crates/pimentochute-cli/src/commands/request.rs
@@ -0,0 +1,99 @@
+//! `request`.
+
+use std::ffi::OsString;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HeaderName;
+use http::{HeaderMap, HeaderValue, Method};
+use serde_json::json;
+
+use super::{caller_runtime, parsed, read_input};
+use crate::api_client::{ApiAnswer, ApiCall, ApiClient};
+use crate::exit::{CliError, ExitStatus};
+use crate::flags::common_flags;
+use crate::flags::request::{Request, RequestCmd, Send};
+use crate::output::{print_bytes, print_json};
+
+/// The wait for an answer when no deadline is given; hosts allow 30 s by
+/// default and at most 300 s.
+const DEFAULT_WAIT: Duration = Duration::from_secs(310);
+
+/// The wait beyond a given deadline.
+const DEADLINE_GRACE: Duration = Duration::from_secs(5);
+
+pub fn run(arguments: Vec<OsString>) -> Result<ExitStatus, CliError> {
+    let mut flags = parsed!(Request::from_vec(arguments));
+    let common = common_flags!(flags);
+    let client = ApiClient::new(&common)?;
+    let RequestCmd::Send(send) = flags.subcommand;
+    let call = call_of(&send)?;
+    let answer = caller_runtime()?.block_on(client.call(call))?;
+    if header(&answer, "x-outcome") != "answered" {
+        return Err(client.refusal_of(&answer, true));
+    }
+    print_answer(&answer, common.json)?;
+    let status = answer.status.as_u16();
+    if answer.status.is_success() {
+        Ok(ExitStatus::Success)
+    } else {
+        Err(CliError::EndpointStatus { status })
+    }
+}
+
+fn call_of(send: &Send) -> Result<ApiCall<'static>, CliError> {
+    let mut headers = HeaderMap::new();
+    let mut add = |name: &'static str, value: &str| {
+        let value = HeaderValue::from_str(value);
+        let value = value.map_err(|_| {
+            let detail = format!("the value of {name} cannot be sent");
+            CliError::usage(detail, "use visible ASCII characters")
+        })?;
+        headers.insert(HeaderName::from_static(name), value);
+        Ok::<_, CliError>(())
+    };
+    add("x-queue", send.queue.as_str())?;
+    add(
+        "x-idempotent",
+        if send.idempotent { "true" } else { "false" },
+    )?;
+    if let Some(team) = &send.team {
+        add("x-team", team.as_str())?;
+    }
+    if let Some(id) = &send.id {
+        add("x-request-id", id)?;
+    }
+    if let Some(millis) = send.deadline_ms {
+        add("x-deadline-ms", &millis.to_string())?;
+    }
+    let deadline = send.deadline_ms.map(Duration::from_millis);
+    let body = match &send.body_file {
+        Some(path) => Bytes::from(read_input(path)?),
+        None => Bytes::new(),
+    };
+    Ok(ApiCall {
+        method: Method::POST,
+        path: "/v1/requests",
+        headers,
+        body,
+        limit: deadline.map_or(DEFAULT_WAIT, |time| time.saturating_add(DEADLINE_GRACE)),
+    })
+}
+
+fn print_answer(answer: &ApiAnswer, json: bool) -> Result<(), CliError> {
+    if !json {
+        return print_bytes(&answer.body);
+    }
+    print_json(&json!({
+        "status": answer.status.as_u16(),
+        "request_id": header(answer, "x-request-id"),
+        "endpoint": header(answer, "x-endpoint"),
+        "attempts": header(answer, "x-attempts").parse::<u32>().unwrap_or(0),
+        "body": String::from_utf8_lossy(&answer.body),
+    }))
+}
+
+fn header<'a>(answer: &'a ApiAnswer, name: &str) -> &'a str {
+    let value = answer.headers.get(name);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
--- /dev/null
+++ b/crates/pimentochute-cli/src/flags/run.rs
@@ -0,0 +1,21 @@
+//! `serve` and `check`.
+
+#![allow(clippy::all, clippy::pedantic)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Runs the daemon, or checks its settings.
+    cmd pimentochute {
+        /// Runs the daemon of an entry host until SIGTERM.
+        cmd serve {
+            /// The settings, a JSON file.
+            required --settings file: PathBuf
+        }
+        /// Finds every fault of a settings file; exit code 2 if there is one.
+        cmd check {
+            /// The settings, a JSON file.
+            required --settings file: PathBuf
+        }
+    }
+}
--- a/crates/pimentochute-cli/src/main.rs
+++ b/crates/pimentochute-cli/src/main.rs
@@ -1,2 +1,21 @@
-//! placeholder
-fn main() {}
+//! The `pimentochute` program: the daemon, and commands for operators and
+//! callers.
+
+mod api_client;
+mod commands;
+mod exit;
+mod flags;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
+    match commands::run(arguments) {
+        Ok(code) => code.into(),
+        Err(error) => {
+            output::print_error(&error);
+            error.exit_code().into()
+        }
+    }
+}
--- a/crates/pimentochute-server/src/settings/check.rs
+++ b/crates/pimentochute-server/src/settings/check.rs
@@ -31,19 +31,13 @@
     let mut faults = Vec::new();
     let document = read_document(&mut value, &mut faults);
     faults.extend(document.range_faults());
-    match document.complete() {
-        Ok(settings) if faults.is_empty() => match relation_faults(&settings) {
-            found if found.is_empty() => Ok(settings),
-            faults => Err(SettingsError::Faults { faults }),
-        },
-        Ok(settings) => {
-            add_new(&mut faults, relation_faults(&settings));
-            Err(SettingsError::Faults { faults })
-        }
-        Err(missing) => {
-            add_new(&mut faults, missing.into_iter().map(missing_fault));
-            Err(SettingsError::Faults { faults })
-        }
+    let (partial, missing) = document.fill();
+    add_new(&mut faults, missing.into_iter().map(missing_fault));
+    let relations = relation_faults(&partial, &faults);
+    add_new(&mut faults, relations);
+    match partial.complete() {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(SettingsError::Faults { faults }),
     }
 }
 
--- a/crates/pimentochute-server/src/settings/document.rs
+++ b/crates/pimentochute-server/src/settings/document.rs
@@ -12,7 +12,7 @@
     WorkerSettings,
 };
 
-/// The whole document.
+/// The whole document; a broken one is read as far as possible.
 #[derive(Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct SettingsDocument {
@@ -24,18 +24,18 @@
     directory_address: Option<HostPort>,
     peer_key: Option<SecretText>,
     operator_keys: Vec<OperatorDocument>,
-    logging: LoggingSettings,
-    configuration: ConfigurationSettings,
-    slices: SliceSettings,
-    workers: WorkerSettings,
-    peers: PeerSettings,
-    log: LogSettings,
-    directory: DirectorySettings,
-    requests: RequestSettings,
-    jobs: JobSettings,
-    http: HttpSettings,
-    drain: DrainSettings,
-    supervisor: SupervisorSettings,
+    pub(super) logging: LoggingSettings,
+    pub(super) configuration: ConfigurationSettings,
+    pub(super) slices: SliceSettings,
+    pub(super) workers: WorkerSettings,
+    pub(super) peers: PeerSettings,
+    pub(super) log: LogSettings,
+    pub(super) directory: DirectorySettings,
+    pub(super) requests: RequestSettings,
+    pub(super) jobs: JobSettings,
+    pub(super) http: HttpSettings,
+    pub(super) drain: DrainSettings,
+    pub(super) supervisor: SupervisorSettings,
 }
 
 #[derive(Default, Deserialize)]
@@ -80,59 +80,81 @@
     }
 }
 
-impl SettingsDocument {
-    /// Completes the settings.
-    ///
-    /// # Errors
-    /// Returns the paths of required values that are missing.
-    pub(super) fn complete(self) -> Result<Settings, Vec<String>> {
-        let mut missing = MissingPaths::default();
-        let settings = self.fill(&mut missing);
-        match settings {
-            Some(settings) if missing.0.is_empty() => Ok(settings),
-            _ => Err(missing.0),
-        }
+/// The values that can be checked against each other. A value is none if it,
+/// or a part of it, is missing or wrong.
+pub(super) struct PartialSettings {
+    pub(super) host: Option<HostName>,
+    pub(super) data_centre: Option<DataCentreName>,
+    pub(super) data_centres: Option<Vec<DataCentreSettings>>,
+    pub(super) listen: Option<ListenSettings>,
+    pub(super) log_address: Option<HostPort>,
+    pub(super) directory_address: Option<HostPort>,
+    pub(super) peer_key: Option<SecretText>,
+    pub(super) operator_keys: Option<Vec<OperatorKey>>,
+    pub(super) limits: SettingsDocument,
+}
+
+impl PartialSettings {
+    /// Returns the whole settings; none if a value is missing.
+    pub(super) fn complete(self) -> Option<Settings> {
+        let limits = self.limits;
+        Some(Settings {
+            host: self.host?,
+            data_centre: self.data_centre?,
+            data_centres: self.data_centres?,
+            listen: self.listen?,
+            log_address: self.log_address?,
+            directory_address: self.directory_address?,
+            peer_key: self.peer_key?,
+            operator_keys: self.operator_keys?,
+            logging: limits.logging,
+            configuration: limits.configuration,
+            slices: limits.slices,
+            workers: limits.workers,
+            peers: limits.peers,
+            log: limits.log,
+            directory: limits.directory,
+            requests: limits.requests,
+            jobs: limits.jobs,
+            http: limits.http,
+            drain: limits.drain,
+            supervisor: limits.supervisor,
+        })
     }
+}
 
-    fn fill(self, missing: &mut MissingPaths) -> Option<Settings> {
-        let host = missing.need("host", self.host);
-        let data_centre = missing.need("data_centre", self.data_centre);
-        let data_centres = fill_each(self.data_centres, |index, centre| {
-            centre.fill(&format!("data_centres[{index}]"), missing)
+impl SettingsDocument {
+    /// Takes the values over; returns the paths of missing ones as well.
+    pub(super) fn fill(mut self) -> (PartialSettings, Vec<String>) {
+        let mut missing = MissingPaths::default();
+        let host = missing.need("host", self.host.take());
+        let data_centre = missing.need("data_centre", self.data_centre.take());
+        let centres = std::mem::take(&mut self.data_centres);
+        let centres = missing.need("data_centres", Some(centres).filter(|c| !c.is_empty()));
+        let data_centres = centres.and_then(|centres| {
+            fill_each(centres, |index, centre| {
+                centre.fill(&format!("data_centres[{index}]"), &mut missing)
+            })
         });
-        let listen_public = missing.need("listen.public", self.listen.public);
-        let listen_peer = missing.need("listen.peer", self.listen.peer);
-        let log_address = missing.need("log_address", self.log_address);
-        let directory_address = missing.need("directory_address", self.directory_address);
-        let peer_key = missing.need("peer_key", self.peer_key);
-        let operator_keys = fill_each(self.operator_keys, |index, key| {
-            key.fill(&format!("operator_keys[{index}]"), missing)
+        let public = missing.need("listen.public", self.listen.public);
+        let peer = missing.need("listen.peer", self.listen.peer);
+        let listen = public.zip(peer);
+        let keys = std::mem::take(&mut self.operator_keys);
+        let operator_keys = fill_each(keys, |index, key| {
+            key.fill(&format!("operator_keys[{index}]"), &mut missing)
         });
-        Some(Settings {
-            host: host?,
-            data_centre: data_centre?,
+        let partial = PartialSettings {
+            host,
+            data_centre,
             data_centres,
-            listen: ListenSettings {
-                public: listen_public?,
-                peer: listen_peer?,
-            },
-            log_address: log_address?,
-            directory_address: directory_address?,
-            peer_key: peer_key?,
+            listen: listen.map(|(public, peer)| ListenSettings { public, peer }),
+            log_address: missing.need("log_address", self.log_address.take()),
+            directory_address: missing.need("directory_address", self.directory_address.take()),
+            peer_key: missing.need("peer_key", self.peer_key.take()),
             operator_keys,
-            logging: self.logging,
-            configuration: self.configuration,
-            slices: self.slices,
-            workers: self.workers,
-            peers: self.peers,
-            log: self.log,
-            directory: self.directory,
-            requests: self.requests,
-            jobs: self.jobs,
-            http: self.http,
-            drain: self.drain,
-            supervisor: self.supervisor,
-        })
+            limits: self,
+        };
+        (partial, missing.0)
     }
 
     /// Returns the range faults of every group.
@@ -154,11 +176,17 @@
     }
 }
 
-fn fill_each<D, T>(documents: Vec<D>, mut fill: impl FnMut(usize, D) -> Option<T>) -> Vec<T> {
+/// Fills every element, so that all missing parts are noted; none if one of
+/// them is incomplete.
+fn fill_each<D, T>(
+    documents: Vec<D>,
+    mut fill: impl FnMut(usize, D) -> Option<T>,
+) -> Option<Vec<T>> {
     let numbered = documents.into_iter().enumerate();
-    numbered
-        .filter_map(|(index, document)| fill(index, document))
-        .collect()
+    let filled: Vec<Option<T>> = numbered
+        .map(|(index, document)| fill(index, document))
+        .collect();
+    filled.into_iter().collect()
 }
 
 impl CentreDocument {
@@ -169,7 +197,7 @@
         });
         Some(DataCentreSettings {
             name: name?,
-            entry_hosts,
+            entry_hosts: entry_hosts?,
         })
     }
 }
--- a/crates/pimentochute-server/src/settings/relations.rs
+++ b/crates/pimentochute-server/src/settings/relations.rs
@@ -4,18 +4,30 @@
 
 use pimentochute_base::MilliSpan;
 
-use super::{Settings, SettingsFault};
+use super::document::{PartialSettings, SettingsDocument};
+use super::{DataCentreSettings, OperatorKey, SecretText, SettingsFault};
 
 /// The least bytes of the key that entry hosts share.
 const MIN_PEER_KEY_BYTES: usize = 32;
 
-/// Returns the faults of values that do not fit each other.
-pub(super) fn relation_faults(settings: &Settings) -> Vec<SettingsFault> {
+/// Returns the faults of values that do not fit each other. A bound that is
+/// itself among the `known` faults is not compared with.
+pub(super) fn relation_faults(
+    settings: &PartialSettings,
+    known: &[SettingsFault],
+) -> Vec<SettingsFault> {
     let mut faults = Vec::new();
-    check_places(settings, &mut faults);
-    check_names(settings, &mut faults);
-    check_keys(settings, &mut faults);
-    check_timings(settings, &mut faults);
+    if let Some(centres) = &settings.data_centres {
+        check_places(settings, centres, &mut faults);
+        check_names(centres, &mut faults);
+    }
+    if let Some(key) = &settings.peer_key {
+        check_peer_key(key, &mut faults);
+    }
+    if let Some(operators) = &settings.operator_keys {
+        check_operators(operators, &mut faults);
+    }
+    check_timings(&settings.limits, known, &mut faults);
     faults
 }
 
@@ -27,44 +39,41 @@
     }
 }
 
-fn check_places(settings: &Settings, faults: &mut Vec<SettingsFault>) {
-    if settings.data_centres.is_empty() {
-        faults.push(fault("data_centres", &"none", "at least one data centre"));
-        return;
-    }
-    for (index, centre) in settings.data_centres.iter().enumerate() {
+fn check_places(
+    settings: &PartialSettings,
+    centres: &[DataCentreSettings],
+    faults: &mut Vec<SettingsFault>,
+) {
+    for (index, centre) in centres.iter().enumerate() {
         if centre.entry_hosts.is_empty() {
             let path = format!("data_centres[{index}].entry_hosts");
             faults.push(fault(&path, &"none", "at least one entry host"));
         }
     }
-    let known = |c: &super::DataCentreSettings| c.name == settings.data_centre;
-    if !settings.data_centres.iter().any(known) {
-        let names: Vec<&str> = settings
-            .data_centres
-            .iter()
-            .map(|c| c.name.as_str())
-            .collect();
+    let Some(name) = &settings.data_centre else {
+        return;
+    };
+    let Some(own) = centres.iter().find(|centre| centre.name == *name) else {
+        let names: Vec<&str> = centres.iter().map(|c| c.name.as_str()).collect();
         let allowed = format!("one of data_centres: {}", names.join(", "));
-        faults.push(fault("data_centre", &settings.data_centre, allowed));
-    } else if !settings
-        .local_hosts()
-        .iter()
-        .any(|h| h.name == settings.host)
+        faults.push(fault("data_centre", name, allowed));
+        return;
+    };
+    let hosts: Vec<&str> = own.entry_hosts.iter().map(|h| h.name.as_str()).collect();
+    if let Some(host) = &settings.host
+        && !hosts.contains(&host.as_str())
     {
-        let hosts = settings.local_hosts().iter();
-        let names: Vec<&str> = hosts.map(|h| h.name.as_str()).collect();
-        let allowed = format!("an entry host of the data centre: {}", names.join(", "));
-        faults.push(fault("host", &settings.host, allowed));
+        let allowed = format!("an entry host of the data centre: {}", hosts.join(", "));
+        faults.push(fault("host", host, allowed));
     }
 }
 
-fn check_names(settings: &Settings, faults: &mut Vec<SettingsFault>) {
-    let mut centres = BTreeSet::new();
+fn check_names(centres: &[DataCentreSettings], faults: &mut Vec<SettingsFault>) {
+    let mut names = BTreeSet::new();
     let mut hosts = BTreeSet::new();
-    for (index, centre) in settings.data_centres.iter().enumerate() {
+    for (index, centre) in centres.iter().enumerate() {
         let path = format!("data_centres[{index}]");
-        if !centres.insert(&centre.name) {
+        if !names.insert(&centre.name) {
             let path = format!("{path}.name");
             faults.push(fault(&path, &centre.name, "a name that is used once"));
         }
@@ -77,8 +86,8 @@
     }
 }
 
-fn check_keys(settings: &Settings, faults: &mut Vec<SettingsFault>) {
-    let key = settings.peer_key.reveal();
+fn check_peer_key(key: &SecretText, faults: &mut Vec<SettingsFault>) {
+    let key = key.reveal();
     if key.len() < MIN_PEER_KEY_BYTES {
         let found = format!("{} bytes", key.len());
         let allowed = format!("at least {MIN_PEER_KEY_BYTES} random bytes");
@@ -87,8 +96,11 @@
         let allowed = "visible ASCII characters, as it is sent in a header";
         faults.push(fault("peer_key", &"other characters", allowed));
     }
+}
+
+fn check_operators(operators: &[OperatorKey], faults: &mut Vec<SettingsFault>) {
     let mut names = BTreeSet::new();
-    for (index, operator) in settings.operator_keys.iter().enumerate() {
+    for (index, operator) in operators.iter().enumerate() {
         let path = format!("operator_keys[{index}].name");
         if operator.name.is_empty() || operator.name.chars().any(char::is_control) {
             let found = format!("{:?}", operator.name);
@@ -119,12 +131,18 @@
     }
 }
 
-fn check_timings(settings: &Settings, faults: &mut Vec<SettingsFault>) {
+fn check_timings(
+    settings: &SettingsDocument,
+    known: &[SettingsFault],
+    faults: &mut Vec<SettingsFault>,
+) {
+    let is_known = |path: &str| known.iter().any(|fault| fault.path == path);
     let orders = lease_orders(settings).into_iter();
     let orders = orders.chain(limit_orders(settings));
+    let orders = orders.filter(|order| !is_known(order.bound_path));
     faults.extend(orders.filter_map(|order| order.fault()));
     let http = &settings.http;
-    if http.max_body_bytes > http.max_buffered_bytes {
+    if http.max_body_bytes > http.max_buffered_bytes && !is_known("http.max_buffered_bytes") {
         let allowed = format!(
             "at most http.max_buffered_bytes ({})",
             http.max_buffered_bytes
@@ -135,7 +153,7 @@
 
 /// One lost renewal or heartbeat must not end a lease or a host's liveness,
 /// and a worker is taken over between its two leases: hence the halves.
-fn lease_orders(settings: &Settings) -> [SpanOrder; 4] {
+fn lease_orders(settings: &SettingsDocument) -> [SpanOrder; 4] {
     let workers = &settings.workers;
     let peers = &settings.peers;
     [
@@ -170,7 +188,7 @@
     ]
 }
 
-fn limit_orders(settings: &Settings) -> [SpanOrder; 3] {
+fn limit_orders(settings: &SettingsDocument) -> [SpanOrder; 3] {
     let requests = &settings.requests;
     let drain = &settings.drain;
     let supervisor = &settings.supervisor;
--- a/tests/tests/server_settings.rs
+++ b/tests/tests/server_settings.rs
@@ -76,6 +76,34 @@
     assert_eq!(paths_of(&value), expected);
 }
 
+/// Guards against relations that are only checked once nothing is missing.
+#[test]
+fn relations_are_checked_beside_missing_values() {
+    let value = json!({
+        "host": "a9", "data_centre": "north",
+        "data_centres": settings_json()["data_centres"],
+        "peer_key": "short", "drain": {"drain_limit_ms": 1000},
+    });
+    let expected = [
+        "directory_address",
+        "drain.drain_delay_ms",
+        "host",
+        "listen.peer",
+        "listen.public",
+        "log_address",
+        "peer_key",
+    ];
+    assert_eq!(paths_of(&value), expected);
+    let none = [
+        "data_centre",
+        "data_centres",
+        "directory_address",
+        "host",
+        "listen.peer",
+    ];
+    assert_eq!(paths_of(&json!({}))[..5], none);
+}
+
 /// Guards against accepting values that only fail together.
 #[test_case("/host", &json!("a9"), "host" ; "host of no data centre")]
 #[test_case("/data_centre", &json!("east"), "data_centre" ; "unknown data centre")]
