--- a/crates/pimentochute-server/src/settings.rs
+++ b/crates/pimentochute-server/src/settings.rs
@@ -17,7 +17,7 @@
 pub use groups::{
     ConfigurationSettings, DirectorySettings, DrainSettings, HttpSettings, JobSettings, LogFormat,
     LogLevel, LogSettings, LoggingSettings, PeerSettings, RequestSettings, SliceSettings,
-    SupervisorSettings, WorkerSettings,
+    SupervisorSettings, WorkerSettings, limit_groups,
 };
 pub use limit::LimitRow;
 
--- a/crates/pimentochute-server/src/settings/groups.rs
+++ b/crates/pimentochute-server/src/settings/groups.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
-use super::limit::limit_group;
+use super::limit::{LimitRow, limit_group};
 
 /// The most bytes of a peer message beside the body of a caller; an append
 /// batch and the configuration of 200 teams fit as well.
@@ -201,6 +201,24 @@
     }
 }
 
+/// Returns every group of numbers with its name in the settings.
+#[must_use]
+pub fn limit_groups() -> [(&'static str, &'static [LimitRow]); 11] {
+    [
+        ("configuration", ConfigurationSettings::LIMITS),
+        ("slices", SliceSettings::LIMITS),
+        ("workers", WorkerSettings::LIMITS),
+        ("peers", PeerSettings::LIMITS),
+        ("log", LogSettings::LIMITS),
+        ("directory", DirectorySettings::LIMITS),
+        ("requests", RequestSettings::LIMITS),
+        ("jobs", JobSettings::LIMITS),
+        ("http", HttpSettings::LIMITS),
+        ("drain", DrainSettings::LIMITS),
+        ("supervisor", SupervisorSettings::LIMITS),
+    ]
+}
+
 /// What the daemon logs and how.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/pimentochute-server/src/settings/limit.rs
+++ b/crates/pimentochute-server/src/settings/limit.rs
@@ -9,6 +9,8 @@
 pub struct LimitRow {
     /// The name of the field; names that end in `_ms` are in milliseconds.
     pub name: &'static str,
+    /// What the field means; the text of its doc comment.
+    pub doc: &'static str,
     /// The value that holds if the field is left out.
     pub default: u64,
     /// The smallest allowed value.
@@ -73,7 +75,7 @@
     (
         $(#[$meta:meta])*
         $name:ident {
-            $($(#[$field_meta:meta])* $field:ident: $kind:ty = $default:literal, $min:literal..=$max:literal;)*
+            $($(#[doc = $doc:literal])* $field:ident: $kind:ty = $default:literal, $min:literal..=$max:literal;)*
         }
     ) => {
         $(#[$meta])*
@@ -81,7 +83,7 @@
         #[serde(default, deny_unknown_fields)]
         pub struct $name {
             $(
-                $(#[$field_meta])*
+                $(#[doc = $doc])*
                 pub $field: $kind,
             )*
         }
@@ -91,6 +93,7 @@
             pub const LIMITS: &'static [$crate::settings::LimitRow] = &[
                 $($crate::settings::LimitRow {
                     name: stringify!($field),
+                    doc: concat!($($doc),*),
                     default: $default,
                     min: $min,
                     max: $max,
--- a/crates/pimentochute-server/src/settings/relations.rs
+++ b/crates/pimentochute-server/src/settings/relations.rs
@@ -152,8 +152,10 @@
 }
 
 /// One lost renewal or heartbeat must not end a lease or a host's liveness,
-/// and a worker is taken over between its two leases: hence the halves.
-fn lease_orders(settings: &SettingsDocument) -> [SpanOrder; 4] {
+/// and a worker is taken over between its two leases: hence the halves. An
+/// isolated manager stops renewing before its control lease ends, since other
+/// hosts count the leases from its last heartbeat.
+fn lease_orders(settings: &SettingsDocument) -> [SpanOrder; 5] {
     let workers = &settings.workers;
     let peers = &settings.peers;
     [
@@ -171,6 +173,13 @@
             bound_path: "workers.task_lease_ms",
             bound: workers.task_lease_ms,
         },
+        SpanOrder {
+            path: "workers.isolation_ms",
+            span: workers.isolation_ms,
+            times: 1,
+            bound_path: "workers.control_lease_ms",
+            bound: workers.control_lease_ms,
+        },
         SpanOrder {
             path: "peers.heartbeat_ms",
             span: peers.heartbeat_ms,
--- a/tests/tests/server_settings.rs
+++ b/tests/tests/server_settings.rs
@@ -114,6 +114,7 @@
 #[test_case("/peer_key", &json!(format!("{PEER_KEY}\n")), "peer_key" ; "peer key with a line end")]
 #[test_case("/workers", &json!({"renew_ms": 4000}), "workers.renew_ms" ; "renewal too rare")]
 #[test_case("/workers", &json!({"control_lease_ms": 11000}), "workers.control_lease_ms" ; "control outlasts tasks")]
+#[test_case("/workers", &json!({"isolation_ms": 6001}), "workers.isolation_ms" ; "isolation outlasts control")]
 #[test_case("/peers", &json!({"heartbeat_ms": 1500}), "peers.heartbeat_ms" ; "heartbeat too rare")]
 #[test_case("/drain", &json!({"drain_limit_ms": 1000}), "drain.drain_delay_ms" ; "drain delay over the limit")]
 fn related_values_are_checked(pointer: &str, found: &Value, path: &str) {
--- a/tests/tests/server_support/mod.rs
+++ b/tests/tests/server_support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod fakes;
+pub mod program;
 
 use pimentochute_base::{ConfigVersion, HostIncarnation, MilliSpan};
 use pimentochute_server::settings::{Settings, check_settings};
