--- a/tests/tests/server_settings.rs
+++ b/tests/tests/server_settings.rs
@@ -76,6 +76,34 @@
     assert_eq!(paths_of(&value), expected);
 }
 
+/// Guards against relations that are only checked once nothing is missing.
+#[test]
+fn relations_are_checked_beside_missing_values() {
+    let value = json!({
+        "host": "a9", "data_centre": "north",
+        "data_centres": settings_json()["data_centres"],
+        "peer_key": "short", "drain": {"drain_limit_ms": 1000},
+    });
+    let expected = [
+        "directory_address",
+        "drain.drain_delay_ms",
+        "host",
+        "listen.peer",
+        "listen.public",
+        "log_address",
+        "peer_key",
+    ];
+    assert_eq!(paths_of(&value), expected);
+    let none = [
+        "data_centre",
+        "data_centres",
+        "directory_address",
+        "host",
+        "listen.peer",
+    ];
+    assert_eq!(paths_of(&json!({}))[..5], none);
+}
+
 /// Guards against accepting values that only fail together.
 #[test_case("/host", &json!("a9"), "host" ; "host of no data centre")]
 #[test_case("/data_centre", &json!("east"), "data_centre" ; "unknown data centre")]
@@ -86,6 +114,7 @@
 #[test_case("/peer_key", &json!(format!("{PEER_KEY}\n")), "peer_key" ; "peer key with a line end")]
 #[test_case("/workers", &json!({"renew_ms": 4000}), "workers.renew_ms" ; "renewal too rare")]
 #[test_case("/workers", &json!({"control_lease_ms": 11000}), "workers.control_lease_ms" ; "control outlasts tasks")]
+#[test_case("/workers", &json!({"isolation_ms": 6001}), "workers.isolation_ms" ; "isolation outlasts control")]
 #[test_case("/peers", &json!({"heartbeat_ms": 1500}), "peers.heartbeat_ms" ; "heartbeat too rare")]
 #[test_case("/drain", &json!({"drain_limit_ms": 1000}), "drain.drain_delay_ms" ; "drain delay over the limit")]
 fn related_values_are_checked(pointer: &str, found: &Value, path: &str) {
