Refuse a job only after it could not run for a while

Cause: a gang was refused for good in the moment between its submission and the first record of its team's allotment: 'the team may run 0'. The same could happen right after a takeover, before workers are recorded. Ports of the test cells lie below the ephemeral range: a host that started late found its port taken once. Before: gang_submitted_before_its_allotment_is_not_refused fails. Conclusion: a final refusal rests on a lasting state.

--- a/crates/pimentochute-server/src/control.rs
+++ b/crates/pimentochute-server/src/control.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod plane;
 mod reconcile;
+mod refusals;
 mod runtime;
 mod scheduler;
 mod session;
--- /dev/null
+++ b/crates/pimentochute-server/src/control/refusals.rs
@@ -0,0 +1,55 @@
+//! Waits before a job is refused for good.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::{JobId, MilliSpan, MilliTime};
+use pimentochute_schedule::JobRefusal;
+
+/// The time between two looks at the jobs that seem never to run.
+const LOOK_INTERVAL: MilliSpan = MilliSpan::new(500);
+
+/// The jobs that could not run as things stood, and since when.
+///
+/// A refusal is final, and right after a start or a takeover workers and
+/// allotments may not be recorded yet. So a job is refused only after it could
+/// not run for `patience` at every look.
+#[derive(Debug)]
+pub(crate) struct RefusalWatch {
+    patience: MilliSpan,
+    next_look: MilliTime,
+    since: BTreeMap<JobId, MilliTime>,
+}
+
+impl RefusalWatch {
+    /// Creates a watch without jobs.
+    pub(crate) fn new(patience: MilliSpan) -> Self {
+        Self {
+            patience,
+            next_look: MilliTime::ZERO,
+            since: BTreeMap::new(),
+        }
+    }
+
+    /// Tells whether it is time to look at the jobs.
+    pub(crate) fn is_due(&self, now: MilliTime) -> bool {
+        now >= self.next_look
+    }
+
+    /// Takes in the jobs that cannot run now and returns those to refuse.
+    pub(crate) fn due(&mut self, now: MilliTime, refusals: Vec<JobRefusal>) -> Vec<JobRefusal> {
+        self.next_look = now + LOOK_INTERVAL;
+        let earlier = std::mem::take(&mut self.since);
+        for refusal in &refusals {
+            let first = earlier.get(&refusal.job).copied().unwrap_or(now);
+            self.since.insert(refusal.job, first);
+        }
+        let patience = self.patience;
+        let since = &self.since;
+        let is_due = |refusal: &JobRefusal| {
+            since
+                .get(&refusal.job)
+                .is_some_and(|first| now.since(*first) >= patience)
+        };
+        refusals.into_iter().filter(is_due).collect()
+    }
+}
--- a/crates/pimentochute-server/src/control/runtime.rs
+++ b/crates/pimentochute-server/src/control/runtime.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 
 use futures::future::{BoxFuture, FutureExt};
-use pimentochute_base::{NameError, StreamName};
+use pimentochute_base::{MilliSpan, NameError, StreamName};
 use pimentochute_platform::{HostDirectory, LogService, WorkerControl};
 use pimentochute_route::RequestRouter;
 use tokio::sync::{mpsc, watch};
@@ -23,6 +23,7 @@
 use super::snapshots::SnapshotPublisher;
 use super::workers::{UnreachableWorkers, WorkerContext, WorkerManager};
 use super::writer::{AppendPace, RecordWriter, WriterChoice, WriterQueue};
+use crate::settings::WorkerSettings;
 use crate::{ChildError, ChildSpec, DaemonContext, StopHooks};
 
 /// The systems outside that the control plane uses.
@@ -221,6 +222,7 @@
             data_centre: settings.data_centre.clone(),
             data_centres: self.context.peers.centres(),
             probe_interval: settings.workers.quarantine_probe_ms,
+            refusal_patience: refusal_patience(settings.workers),
         };
         SchedulerLoop::new(
             Arc::clone(&self.cell),
@@ -339,6 +341,13 @@
     }
 }
 
+/// Returns the time in which a worker that was lost, or whose manager died, is
+/// recorded again, twice over.
+fn refusal_patience(workers: WorkerSettings) -> MilliSpan {
+    let leases = workers.control_lease_ms + workers.task_lease_ms;
+    leases + leases
+}
+
 /// Makes a child of a part that runs until it is stopped.
 pub(crate) fn endless<T: Send + Sync + 'static>(
     name: &'static str,
--- a/crates/pimentochute-server/src/control/scheduler.rs
+++ b/crates/pimentochute-server/src/control/scheduler.rs
@@ -20,6 +20,7 @@
 use super::client::RecordClient;
 use super::config::ConfigShared;
 use super::placement::PlacementMirror;
+use super::refusals::RefusalWatch;
 
 /// The longest time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
@@ -42,6 +43,7 @@
     data_centre: DataCentreName,
     data_centres: Vec<DataCentreName>,
     probe_interval: MilliSpan,
+    refusal_patience: MilliSpan,
     changes: Mutex<mpsc::UnboundedReceiver<CellChange>>,
 }
 
@@ -53,6 +55,8 @@
     pub data_centres: Vec<DataCentreName>,
     /// The time between two probe tasks on a quarantined worker.
     pub probe_interval: MilliSpan,
+    /// How long a job has to be unable to run before it is refused.
+    pub refusal_patience: MilliSpan,
 }
 
 /// A decision, and what became of its record.
@@ -76,6 +80,7 @@
             data_centre: place.data_centre,
             data_centres: place.data_centres,
             probe_interval: place.probe_interval,
+            refusal_patience: place.refusal_patience,
             changes: Mutex::new(changes),
         }
     }
@@ -87,6 +92,7 @@
         let mut mirror = PlacementMirror::new(self.probe_interval);
         mirror.rebuild(&self.cell, &self.config.current());
         let mut pending = FuturesUnordered::new();
+        let mut watch = RefusalWatch::new(self.refusal_patience);
         let mut resume_at = Instant::now();
         loop {
             if !self
@@ -109,7 +115,13 @@
                     None => mirror.revoke(&self.cell, &decision),
                 }
             }
-            if !self.write_refusals(&mirror.refusals()).await {
+            let now = self.clock.now();
+            let refusals = if watch.is_due(now) {
+                watch.due(now, mirror.refusals())
+            } else {
+                Vec::new()
+            };
+            if !self.write_refusals(refusals).await {
                 resume_at = Instant::now() + LOG_PAUSE;
             }
         }
@@ -265,9 +277,9 @@
 
     /// Records the refusal of jobs that can never run. Tells whether the log
     /// took every record.
-    async fn write_refusals(&self, refusals: &[JobRefusal]) -> bool {
+    async fn write_refusals(&self, refusals: Vec<JobRefusal>) -> bool {
         for refusal in refusals {
-            let Some(record) = self.refusal_record(refusal) else {
+            let Some(record) = self.refusal_record(&refusal) else {
                 continue;
             };
             log::info!(
--- a/tests/src/test_cell.rs
+++ b/tests/src/test_cell.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use pimentochute_base::{
@@ -409,8 +410,27 @@
     }
 }
 
-/// Returns an address whose port was idle a moment ago.
+/// The first port that the cells use. The ports up to 32767 are below those
+/// that the system gives to outgoing connections, one of which could otherwise
+/// take the port of a host that is started late.
+const FIRST_PORT: u16 = 10_240;
+
+/// The ports of one test process; tests run in processes of their own.
+const PORTS_PER_PROCESS: u16 = 32;
+
+/// The ranges of ports; process ids wrap around them.
+const PORT_RANGES: u16 = 700;
+
+/// Returns an address of this process's range that is idle.
 fn idle_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is idle");
-    listener.local_addr().expect("listener has an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let process = u16::try_from(std::process::id() % u32::from(PORT_RANGES)).unwrap_or(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::SeqCst) % PORTS_PER_PROCESS;
+        let port = FIRST_PORT + process * PORTS_PER_PROCESS + step;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/tests/tests/cell_faults.rs
+++ b/tests/tests/cell_faults.rs
@@ -480,3 +480,24 @@
     let in_time = tokio::time::timeout(Duration::from_secs(15), done).await;
     assert!(in_time.is_ok(), "some workers have no manager");
 }
+
+/// Guards against a gang being refused for good because its team's allotment
+/// was not recorded yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gang_submitted_before_its_allotment_is_not_refused() {
+    let mut cell = TestCell::new(&[1]);
+    let _ = cell.add_worker(0, "w0", CAPACITY);
+    cell.start_all().await;
+    let host = cell.host(0);
+    host.configure("other", team_operations("other", 8)).await;
+    let warm = host
+        .submit(job_spec("other", "w", WorkKind::Batch, 1, "run 10"))
+        .await;
+    host.wait_for(warm.id, JobStatus::Succeeded).await;
+    let gang = host
+        .submit(job_spec("print", "g", WorkKind::Gang, 4, "run 50"))
+        .await;
+    pause(1_000).await;
+    host.configure("setup", team_operations("print", 8)).await;
+    host.wait_for(gang.id, JobStatus::Succeeded).await;
+}
