schedule: make the replayed teams differ; split large modules

Cause: all teams of the replay asked for the same mix, so that it could not tell dominant shares from plain ones, and its task sizes were easy to pack. Change: every other team has tasks of twice the size with more memory; 8 % of the work is urgent. placer.rs and free_index.rs are split.

--- a/crates/pimentochute-schedule/examples/decision_bench/quality.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/quality.rs
@@ -2,8 +2,10 @@
 
 use std::fmt::Write as _;
 
+use pimentochute_base::MilliSpan;
 use pimentochute_schedule::{
-    FirstSubmitted, HoldLimits, PlacerSettings, StrictPriority, TaskShare, WorstFit,
+    BoundedPriority, FirstSubmitted, HoldLimits, PlacerSettings, StrictPriority, TaskShare,
+    WorstFit,
 };
 
 use crate::baseline::{BaselinePlayer, BaselineRule};
@@ -90,6 +92,10 @@
         rest_percent: 0,
         ..limits
     };
+    let later = HoldLimits {
+        gang_after: MilliSpan::new(120_000),
+        ..limits
+    };
     let closed = HoldLimits {
         urgent_passes: false,
         ..limits
@@ -107,9 +113,14 @@
             "strict priority",
             new().with_class_order(Box::new(StrictPriority)),
         ),
+        (
+            "turn after 8 passes",
+            new().with_class_order(Box::new(BoundedPriority::new().with_limit(8))),
+        ),
         ("worst fit", new().with_task_fit(Box::new(WorstFit))),
         ("no holds", new().with_holds(None)),
         ("holds without rest", new().with_holds(Some(unrested))),
+        ("gangs hold after 120 s", new().with_holds(Some(later))),
         ("holds shut to urgent", new().with_holds(Some(closed))),
     ]
 }
--- a/crates/pimentochute-schedule/examples/decision_bench/workload.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/workload.rs
@@ -77,12 +77,12 @@
     arrivals
 }
 
-/// By work about a sixth is urgent, a half normal and a third bulk, a fifth of
-/// which comes in gangs.
+/// By expected work 8 % is urgent, 26 % normal, 52 % bulk and 15 % bulk gangs.
+/// Every other team has tasks of twice the size, with more memory per core.
 fn any_arrival(index: usize, fleet: &FleetShape, source: &mut SampleSource) -> Arrival {
     let large = fleet.cores / 16;
     let draw = source.unit();
-    let (priority, kind, tasks, cores, seconds) = if draw < 0.60 {
+    let (priority, kind, tasks, cores, seconds) = if draw < 0.80 {
         let cores = source.pick(&[1, 1, 2]) * large;
         let seconds = source.log_uniform(5.0, 60.0);
         (
@@ -92,7 +92,7 @@
             cores,
             seconds,
         )
-    } else if draw < 0.90 {
+    } else if draw < 0.95 {
         let cores = source.pick(&[1, 2, 3, 4]) * large;
         let seconds = source.log_uniform(30.0, 300.0);
         (
@@ -102,7 +102,7 @@
             cores,
             seconds,
         )
-    } else if draw < 0.98 {
+    } else if draw < 0.992 {
         let cores = source.pick(&[1, 2, 3, 5]) * large;
         let seconds = source.log_uniform(60.0, 600.0);
         (
@@ -123,12 +123,16 @@
             seconds,
         )
     };
-    let memory = cores * source.pick(&[512, 1_024, 2_048, 4_096]);
+    let team = source.below(TEAM_SHARES.len());
+    let (cores, memory) = if team.is_multiple_of(2) {
+        (cores, cores * source.pick(&[512, 1_024]))
+    } else {
+        (2 * cores, 2 * cores * source.pick(&[1_024, 1_536, 2_048]))
+    };
     let demand = ResourceAmount::new(cores * 1_000, memory);
     let declared = seconds * source.log_uniform(0.2, 5.0);
     let runs = (0..tasks).map(|_| (seconds * (0.5 + source.unit()) * 1_000.0) as u64 + 1);
     let runs: Vec<u64> = runs.collect();
-    let team = source.below(TEAM_SHARES.len());
     let mut job = waiting_job(index, team, kind, tasks, demand);
     job.priority = priority;
     job.expected_run = Some(MilliSpan::new((declared * 1_000.0) as u64));
--- a/crates/pimentochute-schedule/src/class_order.rs
+++ b/crates/pimentochute-schedule/src/class_order.rs
@@ -25,18 +25,43 @@
     fn note(&mut self, class: usize, tasks: u32, due: [bool; CLASS_COUNT]);
 }
 
-/// The higher class first, but no class is passed over more than
-/// [`PASSES_UNTIL_TURN`] times.
-#[derive(Debug, Clone, Copy, Default)]
+/// The higher class first, but a lower class has its turn after some passes.
+#[derive(Debug, Clone, Copy)]
 pub struct BoundedPriority {
+    /// How many tasks of higher classes pass a class before its turn.
+    limit: u32,
     /// Tasks of higher classes placed since the class last had its turn or
     /// had no work due.
     passed: [u32; CLASS_COUNT],
 }
 
+impl BoundedPriority {
+    /// Creates the order with [`PASSES_UNTIL_TURN`].
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            limit: PASSES_UNTIL_TURN,
+            passed: [0; CLASS_COUNT],
+        }
+    }
+
+    /// Sets how many tasks of higher classes pass a class before its turn.
+    #[must_use]
+    pub fn with_limit(mut self, limit: u32) -> Self {
+        self.limit = limit;
+        self
+    }
+}
+
+impl Default for BoundedPriority {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ClassOrder for BoundedPriority {
     fn next(&self, open: [bool; CLASS_COUNT]) -> Option<(usize, TurnReason)> {
-        let turn = (0..CLASS_COUNT).find(|&c| open[c] && self.passed[c] >= PASSES_UNTIL_TURN);
+        let turn = (0..CLASS_COUNT).find(|&c| open[c] && self.passed[c] >= self.limit);
         let turn = turn.map(|class| (class, TurnReason::Passed));
         turn.or_else(|| highest(open))
     }
--- a/crates/pimentochute-schedule/src/free_index.rs
+++ b/crates/pimentochute-schedule/src/free_index.rs
@@ -5,17 +5,9 @@
 use pimentochute_base::ResourceAmount;
 use slotmap::SecondaryMap;
 
+use crate::buckets::{BUCKETS, cell_of, plane_of, slots_bound, slots_in};
 use crate::worker_table::WorkerKey;
 
-/// Buckets of processor time and of memory; one bit of a mask each.
-const BUCKETS: usize = 64;
-
-/// Workers with this many accelerators or more share a plane.
-const MAX_PLANE: usize = 8;
-
-/// Drops the low bits of amounts: 64 thousandths of a core, 64 MiB.
-const UNIT_SHIFT: u32 = 6;
-
 /// Workers that fit are compared with each other up to this number per cell;
 /// more gave no measurable gain in packing.
 const COMPARED_PER_CELL: usize = 32;
@@ -287,58 +279,3 @@
         }
     }
 }
-
-/// Returns how many tasks of `demand` fit into `free`.
-pub(crate) fn slots_in(free: &ResourceAmount, demand: &ResourceAmount) -> u64 {
-    [
-        (free.cpu_millis, demand.cpu_millis),
-        (free.memory_mib, demand.memory_mib),
-        (free.accelerators, demand.accelerators),
-    ]
-    .into_iter()
-    .filter_map(|(room, need)| room.checked_div(need))
-    .min()
-    .unwrap_or(u64::MAX)
-}
-
-/// Bounds how many tasks a worker of the cell holds, from above.
-fn slots_bound(cell: (u8, u8), demand: &ResourceAmount) -> u64 {
-    let cpu = bucket_end(cell.0).checked_div(demand.cpu_millis);
-    let memory = bucket_end(cell.1).checked_div(demand.memory_mib);
-    cpu.unwrap_or(u64::MAX).min(memory.unwrap_or(u64::MAX))
-}
-
-fn plane_of(free: &ResourceAmount) -> usize {
-    usize::try_from(free.accelerators).map_or(MAX_PLANE, |count| count.min(MAX_PLANE))
-}
-
-fn cell_of(free: &ResourceAmount) -> (u8, u8) {
-    (bucket_of(free.cpu_millis), bucket_of(free.memory_mib))
-}
-
-/// Returns the bucket of an amount: four per doubling. Never decreases when
-/// the amount increases.
-fn bucket_of(amount: u64) -> u8 {
-    let units = amount >> UNIT_SHIFT;
-    let bucket = if units < 4 {
-        units
-    } else {
-        let exponent = u64::from(units.ilog2());
-        4 * (exponent - 1) + ((units >> (exponent - 2)) & 3)
-    };
-    u8::try_from(bucket.min(63)).unwrap_or(63)
-}
-
-/// Returns the largest amount of a bucket.
-fn bucket_end(bucket: u8) -> u64 {
-    let next = u64::from(bucket) + 1;
-    if next >= 64 {
-        return u64::MAX;
-    }
-    let units = if next < 4 {
-        next
-    } else {
-        (4 + next % 4) << (next / 4 - 1)
-    };
-    (units << UNIT_SHIFT) - 1
-}
--- a/crates/pimentochute-schedule/src/hold.rs
+++ b/crates/pimentochute-schedule/src/hold.rs
@@ -6,7 +6,7 @@
 use pimentochute_base::{MilliSpan, MilliTime, ResourceAmount, WorkKind};
 use slotmap::SecondaryMap;
 
-use crate::free_index::slots_in;
+use crate::buckets::slots_in;
 use crate::job_table::{JobKey, JobState};
 use crate::round::{DecisionRound, TurnContext};
 use crate::team_table::{TeamKey, TeamState};
--- a/crates/pimentochute-schedule/src/lib.rs
+++ b/crates/pimentochute-schedule/src/lib.rs
@@ -3,6 +3,7 @@
 //! Pure functions without I/O. Time is an argument, on the wall clock of the
 //! cell records.
 
+mod buckets;
 mod class_order;
 mod decide;
 mod decision;
@@ -21,6 +22,7 @@
 mod spec;
 mod team_order;
 mod team_table;
+mod upkeep;
 mod worker_choice;
 mod worker_fit;
 mod worker_table;
--- /dev/null
+++ b/crates/pimentochute-schedule/src/upkeep.rs
@@ -0,0 +1,224 @@
+//! How the tables of the placer are kept in step with each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pimentochute_base::{AttemptRef, JobId, MilliTime, TaskIndex, WorkKind};
+
+use crate::class_order::class_index;
+use crate::job_table::{JobKey, JobState};
+use crate::placement_table::{PlacedKey, PlacedTask};
+use crate::shape_table::JobShape;
+use crate::share_scale::bounded;
+use crate::team_table::TeamKey;
+use crate::{CommittedTask, JobPlacer, JobTimes, WaitingJob, WaitingTask};
+
+impl JobPlacer {
+    /// Undoes a reservation; the task waits again if its job is known.
+    pub(crate) fn unreserve(&mut self, attempt: AttemptRef) -> bool {
+        let Some(key) = self.reserved_key(attempt) else {
+            return false;
+        };
+        let job = self.jobs.find(attempt.job);
+        let listed = job.and_then(|job| self.jobs.get(job));
+        let listed = listed.is_some_and(|job| job.reserved.contains(&attempt.task));
+        let waiting = self.vacate(key).and_then(|placed| placed.reserved);
+        if let (true, Some(waiting)) = (listed, waiting)
+            && let Some(job) = job.and_then(|job| self.jobs.get_mut(job))
+        {
+            job.add_task(*waiting);
+        }
+        true
+    }
+
+    /// Counts a placed task everywhere.
+    pub(crate) fn occupy(&mut self, mut placed: PlacedTask) {
+        placed.probe_era = self.workers.take(placed.worker, &placed.demand);
+        let team = placed.team;
+        if let Some(state) = self.teams.get_mut(team) {
+            state.placed += 1;
+            state.used += placed.demand;
+        }
+        if placed.reserved.is_some() {
+            let key = self.jobs.find(placed.job);
+            if let Some(job) = key.and_then(|key| self.jobs.get_mut(key)) {
+                job.reserved.insert(placed.task);
+            }
+        }
+        self.placements.insert(placed);
+        self.refresh_team(team);
+    }
+
+    /// Brings the queues in line with a job that changed.
+    pub(crate) fn requeue(&mut self, key: JobKey) {
+        self.jobs.rewake(key);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let due = job.is_due();
+        if job.queued == due {
+            return;
+        }
+        job.queued = due;
+        let entry = (job.rank, key);
+        let (team, class, shape) = (job.team, class_index(job.priority), job.shape);
+        if let Some(state) = self.teams.get_mut(team) {
+            if due {
+                state.add_due(class, shape, entry);
+            } else {
+                state.drop_due(class, shape, entry);
+            }
+        }
+        self.refresh_team(team);
+    }
+
+    pub(crate) fn refresh_team(&mut self, key: TeamKey) {
+        let order = self.settings.team_order.as_ref();
+        self.teams.refresh(key, order, self.workers.scale());
+    }
+
+    /// Ranks all teams again if the capacity changed.
+    pub(crate) fn refresh_ranks(&mut self) {
+        if std::mem::take(&mut self.stale_ranks) {
+            for key in self.teams.keys() {
+                self.refresh_team(key);
+            }
+        }
+    }
+
+    /// Makes tasks ready whose time has come.
+    pub(crate) fn wake_jobs(&mut self, now: MilliTime) {
+        while let Some(key) = self.jobs.next_awake(now) {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.wake_tasks(now);
+            }
+            self.requeue(key);
+        }
+    }
+
+    pub(crate) fn vacate(&mut self, key: PlacedKey) -> Option<PlacedTask> {
+        let placed = self.placements.remove(key)?;
+        self.workers
+            .give(placed.worker, &placed.demand, placed.probe_era);
+        if let Some(state) = self.teams.get_mut(placed.team) {
+            state.placed = state.placed.saturating_sub(1);
+            state.used = state.used.saturating_sub(&placed.demand);
+        }
+        if placed.reserved.is_some() {
+            self.note_settled(placed.job, placed.task);
+        }
+        self.refresh_team(placed.team);
+        Some(placed)
+    }
+
+    /// Notes that a task is no longer reserved.
+    pub(crate) fn note_settled(&mut self, job: JobId, task: TaskIndex) {
+        let key = self.jobs.find(job);
+        if let Some(state) = key.and_then(|key| self.jobs.get_mut(key)) {
+            state.reserved.remove(&task);
+        }
+    }
+
+    pub(crate) fn reserved_key(&self, attempt: AttemptRef) -> Option<PlacedKey> {
+        let (key, placed) = self.placements.find(attempt.job, attempt.task)?;
+        (placed.attempt == attempt.attempt && placed.reserved.is_some()).then_some(key)
+    }
+
+    /// Tells whether a later attempt of the task is known.
+    pub(crate) fn is_outdated(&self, attempt: AttemptRef) -> bool {
+        let placed = self.placements.find(attempt.job, attempt.task);
+        let placed = placed.map(|(_, placed)| placed.attempt);
+        let job = self.jobs.find(attempt.job);
+        let job = job.and_then(|key| self.jobs.get(key));
+        let waiting = job.and_then(|job| job.find_task(attempt.task));
+        let waiting = waiting.map(|task| task.attempt);
+        placed
+            .max(waiting)
+            .is_some_and(|last| last > attempt.attempt)
+    }
+
+    pub(crate) fn is_committed(&self, task: &CommittedTask) -> bool {
+        let found = self.placements.find(task.attempt.job, task.attempt.task);
+        found.is_some_and(|(_, placed)| {
+            let worker = self.workers.get(placed.worker).map(|state| &state.name);
+            let team = self.teams.get(placed.team).map(|state| &state.name);
+            placed.reserved.is_none()
+                && placed.attempt == task.attempt.attempt
+                && placed.demand == bounded(task.demand)
+                && placed.expected_end == task.expected_end
+                && worker == Some(&task.worker)
+                && team == Some(&task.team)
+        })
+    }
+
+    pub(crate) fn new_state(&mut self, job: &WaitingJob, team: TeamKey) -> JobState {
+        let times = JobTimes {
+            submitted: job.submitted,
+            expected_run: job.expected_run,
+            finish_by: job.finish_by,
+        };
+        let shape = JobShape {
+            demand: bounded(job.demand),
+            gang: job.kind == WorkKind::Gang,
+        };
+        JobState {
+            id: job.job,
+            team,
+            kind: job.kind,
+            priority: job.priority,
+            demand: shape.demand,
+            shape: self.shapes.join(shape),
+            task_count: job.task_count,
+            times,
+            rank: self.settings.job_order.rank(&times),
+            ready: BTreeMap::new(),
+            later: BTreeMap::new(),
+            reserved: BTreeSet::new(),
+            queued: false,
+            wake: None,
+            hold_after: MilliTime::ZERO,
+        }
+    }
+
+    /// Adds a task to a job unless the attempt is placed already.
+    pub(crate) fn add_task(&mut self, job: &mut JobState, task: WaitingTask) {
+        let found = self.placements.find(job.id, task.task);
+        let found = found.map(|(key, placed)| (key, placed.attempt));
+        match found {
+            Some((key, attempt)) if attempt >= task.attempt => {
+                if let Some(placed) = self.placements.get_mut(key)
+                    && let Some(waiting) = &mut placed.reserved
+                {
+                    job.reserved.insert(task.task);
+                    if attempt == task.attempt {
+                        **waiting = task;
+                    }
+                }
+            }
+            Some((key, _)) => {
+                self.vacate(key);
+                job.add_task(task);
+            }
+            None => job.add_task(task),
+        }
+    }
+
+    /// Takes a job out of all queues and the table.
+    pub(crate) fn detach(&mut self, key: JobKey) -> Option<JobState> {
+        let job = self.jobs.remove(key)?;
+        if let Some(state) = self.teams.get_mut(job.team) {
+            state.drop_due(class_index(job.priority), job.shape, (job.rank, key));
+            state.jobs = state.jobs.saturating_sub(1);
+        }
+        self.shapes.leave(job.shape);
+        self.refresh_team(job.team);
+        Some(job)
+    }
+
+    /// Forgets a job of which no task waits or may wait again.
+    pub(crate) fn drop_if_idle(&mut self, key: JobKey) {
+        let idle = |job: &JobState| job.waiting_count() == 0 && job.reserved.is_empty();
+        if self.jobs.get(key).is_some_and(idle) {
+            self.detach(key);
+        }
+    }
+}
