schedule: choose the class bound from three arrival lists

Cause: with one arrival list per load the 99th percentiles depended on a few jobs, and both fleets played the same list. Change: three lists per fleet and load, taken together, with memory that is scarce on the larger fleet; a lower class has its turn after 32 tasks. At load 0.9 with 32: 2.8 s and 3.5 s (target 2.9 s). Conclusion: 32 keeps the bound for lower classes at little cost to urgent work; the urgent target is missed at 0.9 on 64 cores and at 1.2.

--- a/crates/pimentochute-schedule/examples/decision_bench/quality.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/quality.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::baseline::{BaselinePlayer, BaselineRule};
-use crate::replay::{CLASSES, PlacerPlayer, ReplayResult, play};
+use crate::replay::{CLASSES, PlacerPlayer, ReplayPlayer, ReplayResult, play};
 use crate::report::{Better, print, quantile};
 use crate::sample::SampleSource;
 use crate::workload::{Arrival, FleetShape, arrivals};
@@ -20,7 +20,9 @@
 /// The time in which the jobs of a replay arrive: two hours.
 const SPAN: u64 = 7_200_000;
 
-const SEED: u64 = 20_261_204;
+/// The arrival lists that each setting plays; one list alone leaves the 99th
+/// percentiles to chance.
+const SEEDS: [u64; 3] = [11, 22, 33];
 
 const FLEETS: [FleetShape; 2] = [
     FleetShape {
@@ -42,87 +44,87 @@
 pub fn run() {
     for fleet in &FLEETS {
         for load in [0.6, 0.9, 1.2] {
-            let arrivals = arrivals(fleet, load, SPAN, SEED + fleet.cores);
-            eprintln!(
-                "replay: {}, load {load}, {} jobs",
-                fleet.name,
-                arrivals.len()
-            );
-            compare(fleet, load, &arrivals);
+            let lists: Vec<_> = SEEDS
+                .iter()
+                .map(|seed| arrivals(fleet, load, SPAN, seed + fleet.cores))
+                .collect();
+            let jobs: usize = lists.iter().map(Vec::len).sum();
+            eprintln!("replay: {}, load {load}, {jobs} jobs", fleet.name);
+            compare(fleet, load, &lists);
         }
     }
 }
 
-fn compare(fleet: &FleetShape, load: f64, arrivals: &[Arrival]) {
-    let mut first = BaselinePlayer::new(fleet, BaselineRule::FirstFit);
-    let mut first = play(&mut first, fleet, arrivals, SPAN);
+fn compare(fleet: &FleetShape, load: f64, lists: &[Vec<Arrival>]) {
+    let first = || BaselinePlayer::new(fleet, BaselineRule::FirstFit);
+    let mut first = play_all(fleet, lists, first);
     tell("first come, first fit", &mut first);
-    let rule = BaselineRule::TwoChoices(SampleSource::new(SEED));
-    let mut random = BaselinePlayer::new(fleet, rule);
-    let mut random = play(&mut random, fleet, arrivals, SPAN);
+    let random = || BaselineRule::TwoChoices(SampleSource::new(SEEDS[0]));
+    let random = || BaselinePlayer::new(fleet, random());
+    let mut random = play_all(fleet, lists, random);
     tell("random, two choices", &mut random);
-    let mut ours = play_placer(fleet, arrivals, PlacerSettings::new());
+    let ours = || PlacerPlayer::new(fleet, PlacerSettings::new());
+    let mut ours = play_all(fleet, lists, ours);
     tell("default", &mut ours);
-    report(
-        &format!("{}, load {load}", fleet.name),
-        &mut ours,
-        &mut [first, random],
-    );
-    for (name, settings) in alternatives() {
-        let mut result = play_placer(fleet, arrivals, settings);
-        tell(name, &mut result);
+    let label = format!("{}, load {load}", fleet.name);
+    report(&label, &mut ours, &mut [first, random]);
+    for (name, settings) in ALTERNATIVES {
+        let player = || PlacerPlayer::new(fleet, settings());
+        tell(name, &mut play_all(fleet, lists, player));
     }
 }
 
-fn play_placer(fleet: &FleetShape, arrivals: &[Arrival], settings: PlacerSettings) -> ReplayResult {
-    let mut player = PlacerPlayer::new(fleet, settings);
-    let result = play(&mut player, fleet, arrivals, SPAN);
-    let abandoned = player.abandoned_holds();
-    if abandoned > 0 {
-        eprintln!("  {abandoned} holds given up");
-    }
-    result
+/// Plays each list with a new player; the results are taken together.
+fn play_all<P: ReplayPlayer>(
+    fleet: &FleetShape,
+    lists: &[Vec<Arrival>],
+    player: impl Fn() -> P,
+) -> ReplayResult {
+    let results = lists
+        .iter()
+        .map(|list| play(&mut player(), fleet, list, SPAN));
+    ReplayResult::mean(results.collect())
 }
 
+type Alternative = (&'static str, fn() -> PlacerSettings);
+
 /// Settings that differ from the default in one policy.
-fn alternatives() -> Vec<(&'static str, PlacerSettings)> {
-    let new = PlacerSettings::new;
-    let limits = HoldLimits::default();
-    let unrested = HoldLimits {
-        rest_percent: 0,
-        ..limits
-    };
-    let later = HoldLimits {
-        gang_after: MilliSpan::new(120_000),
-        ..limits
-    };
-    let closed = HoldLimits {
-        urgent_passes: false,
-        ..limits
-    };
-    vec![
-        (
-            "plain weighted shares",
-            new().with_team_order(Box::new(TaskShare)),
-        ),
-        (
-            "submission order",
-            new().with_job_order(Box::new(FirstSubmitted)),
-        ),
-        (
-            "strict priority",
-            new().with_class_order(Box::new(StrictPriority)),
-        ),
-        (
-            "turn after 8 passes",
-            new().with_class_order(Box::new(BoundedPriority::new().with_limit(8))),
-        ),
-        ("worst fit", new().with_task_fit(Box::new(WorstFit))),
-        ("no holds", new().with_holds(None)),
-        ("holds without rest", new().with_holds(Some(unrested))),
-        ("gangs hold after 120 s", new().with_holds(Some(later))),
-        ("holds shut to urgent", new().with_holds(Some(closed))),
-    ]
+const ALTERNATIVES: [Alternative; 10] = [
+    ("plain weighted shares", || {
+        PlacerSettings::new().with_team_order(Box::new(TaskShare))
+    }),
+    ("submission order", || {
+        PlacerSettings::new().with_job_order(Box::new(FirstSubmitted))
+    }),
+    ("strict priority", || {
+        PlacerSettings::new().with_class_order(Box::new(StrictPriority))
+    }),
+    ("turn after 8 passes", || turn_after(8)),
+    ("turn after 64 passes", || turn_after(64)),
+    ("worst fit", || {
+        PlacerSettings::new().with_task_fit(Box::new(WorstFit))
+    }),
+    ("no holds", || PlacerSettings::new().with_holds(None)),
+    ("holds without rest", || {
+        with_limits(|limits| limits.rest_percent = 0)
+    }),
+    ("gangs hold after 300 s", || {
+        with_limits(|limits| limits.gang_after = MilliSpan::new(300_000))
+    }),
+    ("holds shut to urgent", || {
+        with_limits(|limits| limits.urgent_passes = false)
+    }),
+];
+
+fn turn_after(passes: u32) -> PlacerSettings {
+    let order = BoundedPriority::new().with_limit(passes);
+    PlacerSettings::new().with_class_order(Box::new(order))
+}
+
+fn with_limits(change: fn(&mut HoldLimits)) -> PlacerSettings {
+    let mut limits = HoldLimits::default();
+    change(&mut limits);
+    PlacerSettings::new().with_holds(Some(limits))
 }
 
 /// Prints the figures; those without a stated target are compared with the
--- a/crates/pimentochute-schedule/examples/decision_bench/replay.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/replay.rs
@@ -42,6 +42,25 @@
     pub used: f64,
 }
 
+impl ReplayResult {
+    /// Takes the waits of all results together and the mean of the rest.
+    pub fn mean(results: Vec<Self>) -> Self {
+        let count = results.len() as f64;
+        let mut mean = Self::default();
+        for result in results {
+            for (all, waits) in mean.waits.iter_mut().zip(result.waits) {
+                all.extend(waits);
+            }
+            mean.gang_waits.extend(result.gang_waits);
+            mean.packing += result.packing / count;
+            mean.shortfall += result.shortfall / count;
+            mean.late += result.late / count;
+            mean.used += result.used / count;
+        }
+        mean
+    }
+}
+
 /// The time between calls when nothing else happens.
 const TICK: u64 = 1_000;
 
@@ -233,10 +252,6 @@
             jobs: Vec::new(),
         }
     }
-
-    pub fn abandoned_holds(&self) -> u64 {
-        self.placer.stats().abandoned_holds
-    }
 }
 
 impl ReplayPlayer for PlacerPlayer {
--- a/crates/pimentochute-schedule/examples/decision_bench/workload.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/workload.rs
@@ -127,8 +127,9 @@
     let (cores, memory) = if team.is_multiple_of(2) {
         (cores, cores * source.pick(&[512, 1_024]))
     } else {
-        (2 * cores, 2 * cores * source.pick(&[1_024, 1_536, 2_048]))
+        (2 * cores, 2 * cores * source.pick(&[1_024, 1_536, 3_072]))
     };
+    let memory = memory.min(fleet.capacity().memory_mib);
     let demand = ResourceAmount::new(cores * 1_000, memory);
     let declared = seconds * source.log_uniform(0.2, 5.0);
     let runs = (0..tasks).map(|_| (seconds * (0.5 + source.unit()) * 1_000.0) as u64 + 1);
--- a/crates/pimentochute-schedule/src/class_order.rs
+++ b/crates/pimentochute-schedule/src/class_order.rs
@@ -10,10 +10,11 @@
 pub(crate) const CLASS_COUNT: usize = 3;
 
 /// A class that has work due goes first after this many tasks of higher
-/// classes were placed: these get at most 16 of 17 placements while a lower
+/// classes were placed: these get at most 32 of 33 placements while a lower
 /// one has work that fits. At load 1.2 the 99th percentile of urgent waiting
-/// time was 3.3 s and 4.3 s (two fleets) with 8, and 2.3 s and 3.1 s with 16.
-pub const PASSES_UNTIL_TURN: u32 = 16;
+/// time was 8.5 s and 10.4 s (two fleets) with 8, 6.0 s and 5.6 s with 32, and
+/// no better by more than 0.3 s with 64.
+pub const PASSES_UNTIL_TURN: u32 = 32;
 
 /// Chooses the class that places next.
 pub trait ClassOrder: Debug + Send {
--- a/crates/pimentochute-schedule/src/settings.rs
+++ b/crates/pimentochute-schedule/src/settings.rs
@@ -7,8 +7,9 @@
     TeamOrder, WorkerFit,
 };
 
-/// The default of [`HoldLimits::gang_after`]. With 120 s, the 99th percentile
-/// of gang waiting time at load 0.9 on 64 cores was 4,635 s instead of 3,303 s.
+/// The default of [`HoldLimits::gang_after`]. With 300 s, the 99th percentile
+/// of gang waiting time at load 0.9 was 2,798 s instead of 2,206 s on 16 cores
+/// and 3,191 s instead of 3,586 s on 64 cores.
 pub const GANG_HOLD_AFTER: MilliSpan = MilliSpan::new(60_000);
 
 /// The default of [`HoldLimits::task_after`]. In an overloaded fleet most
@@ -23,7 +24,8 @@
 
 /// The default of [`HoldLimits::rest_percent`]: room is held half of the time
 /// at most. Without rest, the 99th percentile of normal waiting time at load
-/// 1.2 was 273 s instead of 158 s, since holds go past the order of classes.
+/// 1.2 was 1,667 s and 2,312 s (two fleets) instead of 636 s and 1,165 s, since
+/// holds go past the order of classes.
 pub const HOLD_REST_PERCENT: u64 = 100;
 
 /// When a job holds workers, and for how long.
@@ -41,7 +43,9 @@
     pub pause: MilliSpan,
     /// The time without a hold after each hold, in percent of its length.
     pub rest_percent: u64,
-    /// Whether urgent tasks may use held room whatever their run time.
+    /// Whether urgent tasks may use held room whatever their run time. If not,
+    /// the 99th percentile of their waiting time at load 0.9 was 4.4 s and
+    /// 5.4 s (two fleets) instead of 2.8 s and 3.5 s.
     pub urgent_passes: bool,
 }
 
