--- a/crates/pimentochute-schedule/src/lib.rs
+++ b/crates/pimentochute-schedule/src/lib.rs
@@ -3,6 +3,7 @@
 //! Pure functions without I/O. Time is an argument, on the wall clock of the
 //! cell records.
 
+mod buckets;
 mod class_order;
 mod decide;
 mod decision;
@@ -21,6 +22,7 @@
 mod spec;
 mod team_order;
 mod team_table;
+mod upkeep;
 mod worker_choice;
 mod worker_fit;
 mod worker_table;
@@ -35,7 +37,10 @@
 pub use free_index::{FitScore, SearchOrder};
 pub use job_order::{FirstSubmitted, JobOrder, JobRank, JobTimes, LeastSlack, UNDATED_SLACK};
 pub use placer::JobPlacer;
-pub use settings::{GANG_HOLD_AFTER, HOLD_LIMIT, HOLD_PAUSE, PlacerSettings, TASK_HOLD_AFTER};
+pub use settings::{
+    GANG_HOLD_AFTER, HOLD_LIMIT, HOLD_PAUSE, HOLD_REST_PERCENT, HoldLimits, PlacerSettings,
+    TASK_HOLD_AFTER,
+};
 pub use share_scale::ShareScale;
 pub use spec::{CommittedTask, TeamSpec, WaitingJob, WaitingTask, WorkerReadiness, WorkerSpec};
 pub use team_order::{DominantShare, TaskShare, TeamOrder, TeamUsage};
