Return to a failed endpoint when no other one has a free slot

Cause: a connection that its endpoint had closed excluded the endpoint for that request, which then waited for a busy one. Change: endpoints that failed before the send are only ranked last; those that were sent the request stay excluded. Host list entries convert to endpoints. A test covers pauses between retries. Figures: with one busy and one free endpoint and one closed connection, a request with 1 s waited until its deadline before and is answered now.

--- a/crates/pimentochute-route/src/flow.rs
+++ b/crates/pimentochute-route/src/flow.rs
@@ -59,6 +59,7 @@
             permit: local,
             forward: local,
             evictable: true,
+            failed: SmallVec::new(),
             tried: SmallVec::new(),
             tried_peers: SmallVec::new(),
             bytes: request.body.len(),
@@ -131,7 +132,6 @@
         let Some(name) = self.shared.endpoint_name(key) else {
             return FlowStep::Again(MilliSpan::ZERO);
         };
-        self.need.tried.push(key);
         let end = match self.ready_connection(key).await {
             Err(why) => AttemptEnd::NotSent(why),
             Ok(guard) => {
@@ -147,6 +147,10 @@
         let unknown = slot.lapse.filter(|_| matches!(end, AttemptEnd::Unknown(_)));
         slot.lapse = unknown;
         drop(slot);
+        match end {
+            AttemptEnd::NotSent(_) => self.need.failed.push(key),
+            _ => self.need.tried.push(key),
+        }
         match end {
             AttemptEnd::Answered(answer) => self.answer(RoutedAnswer {
                 status: answer.status,
--- a/crates/pimentochute-route/src/grant.rs
+++ b/crates/pimentochute-route/src/grant.rs
@@ -77,7 +77,8 @@
     /// them, and a host owns one or two slots of each, so that two random
     /// choices would mostly find none free when slots are scarce. Equal ones
     /// are chosen at random, those with an idle connection first. Endpoints
-    /// that were tried are used again only if there is no other live one.
+    /// that were sent the request are used again only if there is no other
+    /// live one.
     fn choose_endpoint(&mut self, need: &RequestNeed, now: MilliTime) -> Option<EndpointKey> {
         let keys = &self.services.get(&need.service)?.endpoints;
         let endpoints = &self.endpoints;
@@ -94,6 +95,7 @@
             let Some(rank) = endpoints.get(key).and_then(|e| e.free_rank(now)) else {
                 continue;
             };
+            let rank = (need.failed.contains(&key), rank);
             let order = best.map_or(Ordering::Less, |(_, least)| rank.cmp(&least));
             ties = if order.is_eq() { ties + 1 } else { ties };
             if order.is_lt() || (order.is_eq() && self.rng.u32(0..=ties) == 0) {
--- a/crates/pimentochute-route/src/spec.rs
+++ b/crates/pimentochute-route/src/spec.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use pimentochute_base::{EndpointName, ServiceName};
+use derive_more::{Display, Error, From};
+use pimentochute_base::{EndpointName, NameError, ServiceName};
+use pimentochute_platform::{HostEntry, HostRole, HostStatus};
 
 /// An endpoint of the host list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,6 +23,44 @@
     pub status: EndpointStatus,
 }
 
+impl TryFrom<&HostEntry> for EndpointSpec {
+    type Error = EntryError;
+
+    fn try_from(entry: &HostEntry) -> Result<Self, EntryError> {
+        if entry.role != HostRole::Endpoint {
+            return Err(EntryError::OtherRole { role: entry.role });
+        }
+        Ok(Self {
+            name: EndpointName::new(&entry.name)?,
+            service: entry.service.clone().ok_or(EntryError::NoService)?,
+            address: entry.address,
+            slots: entry.slots,
+            connections: entry.connections,
+            status: entry.status.into(),
+        })
+    }
+}
+
+/// The reason why an entry of the host list is not an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error, From)]
+pub enum EntryError {
+    /// The host has another role.
+    #[display("the host has the role {role}, not endpoint")]
+    OtherRole {
+        /// The role.
+        #[from(skip)]
+        #[error(not(source))]
+        role: HostRole,
+    },
+    /// The entry names no service.
+    #[display("the entry of the endpoint names no service")]
+    NoService,
+    /// The name of the host is not allowed.
+    #[display("{_0}")]
+    #[from]
+    Name(NameError),
+}
+
 /// Whether an endpoint takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointStatus {
@@ -30,6 +70,15 @@
     Leaving,
 }
 
+impl From<HostStatus> for EndpointStatus {
+    fn from(status: HostStatus) -> Self {
+        match status {
+            HostStatus::Live => Self::Live,
+            HostStatus::Leaving => Self::Leaving,
+        }
+    }
+}
+
 /// An endpoint and its use by this host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointUse {
--- a/crates/pimentochute-route/src/waiter.rs
+++ b/crates/pimentochute-route/src/waiter.rs
@@ -30,7 +30,11 @@
     /// Whether the request may be refused in favour of another one. An
     /// earlier attempt that may have run rules this out.
     pub(crate) evictable: bool,
-    /// The endpoints that were tried.
+    /// The endpoints that failed before the request was sent; used again only
+    /// if no other one has a free slot.
+    pub(crate) failed: SmallVec<[EndpointKey; 4]>,
+    /// The endpoints that were sent the request; used again only if there is
+    /// no other live one.
     pub(crate) tried: SmallVec<[EndpointKey; 4]>,
     /// The peers that were tried.
     pub(crate) tried_peers: SmallVec<[HostName; 2]>,
--- a/tests/tests/route_attempts.rs
+++ b/tests/tests/route_attempts.rs
@@ -128,6 +128,22 @@
     }
 }
 
+/// Guards against a request waiting for a busy endpoint although the one whose
+/// connection turned out to be closed has a free slot.
+#[tokio::test(start_paused = true)]
+async fn unsent_request_returns_to_the_only_free_endpoint() {
+    let bench = Bench::new(RouterSettings::default(), 2, 1);
+    bench.router.set_endpoints(endpoints(2, 1).split_off(1));
+    bench.site.at(1, |e| e.usual = Fault::Answer(50_000));
+    let long = start(&bench.router, request("long", "a", true, 60_000)).await;
+    wait(10).await;
+    bench.router.set_endpoints(endpoints(2, 1));
+    bench.site.at(0, |e| e.script.push_back(Fault::NotSent));
+    let answer = bench.route(request("r", "a", false, 1000)).await;
+    assert_eq!(answer.expect("answered").endpoint, "e0");
+    drop(long);
+}
+
 /// Guards against the refusal of a non-idempotent request being followed by
 /// a second send.
 #[tokio::test(start_paused = true)]
@@ -172,6 +188,31 @@
     }
 }
 
+/// Guards against retries without growing pauses, and against hosts whose
+/// requests failed together retrying together.
+#[tokio::test(start_paused = true)]
+async fn retries_pause_longer_each_time() {
+    let mut spans = Vec::new();
+    for seed in 0..4 {
+        let settings = RouterSettings::default().with_seed(seed);
+        let bench = Bench::new(settings, 4, 1);
+        for index in 0..4 {
+            bench.site.at(index, |e| e.usual = Fault::LostBeforeRun);
+        }
+        let result = bench.route(request("r", "a", true, 5000)).await;
+        assert_eq!(result, Err(RouteError::OutcomeUnknown));
+        assert_eq!(bench.router.stats().sent, 4);
+        spans.push(bench.clock.now().as_millis());
+    }
+    // Pauses of 25 to 50, 50 to 100 and 100 to 200 ms.
+    assert!(
+        spans.iter().all(|span| (175..=360).contains(span)),
+        "{spans:?}"
+    );
+    spans.dedup();
+    assert_eq!(spans.len(), 4, "no jitter: {spans:?}");
+}
+
 /// Guards against retries multiplying the load of a failing service.
 #[tokio::test(start_paused = true)]
 async fn retries_stay_within_the_budget() {
--- a/tests/tests/route_drain.rs
+++ b/tests/tests/route_drain.rs
@@ -2,8 +2,14 @@
 
 mod route_support;
 
-use pimentochute_route::{EndpointStatus, RequestOrigin, RouteError, RouterSettings};
-use route_support::{Bench, ConnectFault, Fault, endpoints, request, start, wait};
+use pimentochute_base::{DataCentreName, ServiceName};
+use pimentochute_platform::{HostEntry, HostRole, HostStatus};
+use pimentochute_route::{
+    EndpointSpec, EndpointStatus, EntryError, RequestOrigin, RouteError, RouterSettings,
+};
+use route_support::{
+    Bench, ConnectFault, Fault, address, endpoint, endpoints, request, start, wait,
+};
 
 /// Guards against the drain cutting accepted requests, waiting ones included,
 /// and against it taking new ones.
@@ -114,3 +120,35 @@
     bench.router.set_endpoints(endpoints(1, 1));
     second.await.expect("no panic").expect("answered");
 }
+
+/// Guards against entries of the host list that are not endpoints being used,
+/// and against a leaving one being taken as live.
+#[test]
+fn only_endpoint_entries_become_endpoints() {
+    let entry = |role, service: Option<&str>, status| HostEntry {
+        name: "e0".to_owned(),
+        role,
+        data_centre: DataCentreName::new("d1").expect("valid name"),
+        address: address(0),
+        status,
+        rack: None,
+        service: service.map(|name| ServiceName::new(name).expect("valid name")),
+        slots: 8,
+        connections: 64,
+    };
+    let leaving = entry(HostRole::Endpoint, Some("price"), HostStatus::Leaving);
+    let mut expected = endpoint(0, 8);
+    expected.status = EndpointStatus::Leaving;
+    assert_eq!(EndpointSpec::try_from(&leaving), Ok(expected));
+    let worker = entry(HostRole::Worker, Some("price"), HostStatus::Live);
+    let role = HostRole::Worker;
+    assert_eq!(
+        EndpointSpec::try_from(&worker),
+        Err(EntryError::OtherRole { role })
+    );
+    let nameless = entry(HostRole::Endpoint, None, HostStatus::Live);
+    assert_eq!(
+        EndpointSpec::try_from(&nameless),
+        Err(EntryError::NoService)
+    );
+}
