--- a/tests/tests/route_attempts.rs
+++ b/tests/tests/route_attempts.rs
@@ -5,7 +5,7 @@
 use pimentochute_base::MilliSpan;
 use pimentochute_route::{RouteError, RouterSettings};
 use proptest::prelude::*;
-use route_support::{Bench, ConnectFault, Fault, request, start, wait};
+use route_support::{Bench, ConnectFault, Fault, endpoints, request, start, wait};
 
 fn fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
@@ -128,6 +128,22 @@
     }
 }
 
+/// Guards against a request waiting for a busy endpoint although the one whose
+/// connection turned out to be closed has a free slot.
+#[tokio::test(start_paused = true)]
+async fn unsent_request_returns_to_the_only_free_endpoint() {
+    let bench = Bench::new(RouterSettings::default(), 2, 1);
+    bench.router.set_endpoints(endpoints(2, 1).split_off(1));
+    bench.site.at(1, |e| e.usual = Fault::Answer(50_000));
+    let long = start(&bench.router, request("long", "a", true, 60_000)).await;
+    wait(10).await;
+    bench.router.set_endpoints(endpoints(2, 1));
+    bench.site.at(0, |e| e.script.push_back(Fault::NotSent));
+    let answer = bench.route(request("r", "a", false, 1000)).await;
+    assert_eq!(answer.expect("answered").endpoint, "e0");
+    drop(long);
+}
+
 /// Guards against the refusal of a non-idempotent request being followed by
 /// a second send.
 #[tokio::test(start_paused = true)]
@@ -147,17 +163,54 @@
     assert_eq!(answer.expect("answered").attempts, 3);
 }
 
-/// Guards against retries on the endpoint that just failed.
+/// Guards against retries on the endpoint that just failed, although it is
+/// the least used one.
 #[tokio::test(start_paused = true)]
 async fn retry_uses_another_endpoint() {
-    let bench = Bench::new(RouterSettings::default(), 2, 4);
-    bench.site.at(0, |e| e.usual = Fault::LostWhileRunning(1));
-    for index in 0..8 {
-        let answer = bench
-            .route(request(&format!("r{index}"), "a", true, 1000))
-            .await;
-        assert_eq!(answer.expect("answered").endpoint, "e1");
+    for fault in [Fault::Refuse, Fault::NotSent, Fault::LostWhileRunning(1)] {
+        let bench = Bench::new(RouterSettings::default(), 2, 20);
+        bench.site.at(0, |e| e.usual = fault);
+        bench
+            .site
+            .at(1, |e| e.script.push_back(Fault::Answer(50_000)));
+        bench.router.set_endpoints(endpoints(2, 20).split_off(1));
+        let long = start(&bench.router, request("long", "a", true, 60_000)).await;
+        wait(10).await;
+        bench.router.set_endpoints(endpoints(2, 20));
+        let answer = bench.route(request("r", "a", true, 1000)).await;
+        let answer = answer.expect("answered");
+        let attempts = if fault == Fault::NotSent { 1 } else { 2 };
+        assert_eq!(
+            (answer.endpoint.as_str(), answer.attempts),
+            ("e1", attempts)
+        );
+        drop(long);
+    }
+}
+
+/// Guards against retries without growing pauses, and against hosts whose
+/// requests failed together retrying together.
+#[tokio::test(start_paused = true)]
+async fn retries_pause_longer_each_time() {
+    let mut spans = Vec::new();
+    for seed in 0..4 {
+        let settings = RouterSettings::default().with_seed(seed);
+        let bench = Bench::new(settings, 4, 1);
+        for index in 0..4 {
+            bench.site.at(index, |e| e.usual = Fault::LostBeforeRun);
+        }
+        let result = bench.route(request("r", "a", true, 5000)).await;
+        assert_eq!(result, Err(RouteError::OutcomeUnknown));
+        assert_eq!(bench.router.stats().sent, 4);
+        spans.push(bench.clock.now().as_millis());
     }
+    // Pauses of 25 to 50, 50 to 100 and 100 to 200 ms.
+    assert!(
+        spans.iter().all(|span| (175..=360).contains(span)),
+        "{spans:?}"
+    );
+    spans.dedup();
+    assert_eq!(spans.len(), 4, "no jitter: {spans:?}");
 }
 
 /// Guards against retries multiplying the load of a failing service.
