--- a/crates/pimentochute-cli/src/flags/job.rs
+++ b/crates/pimentochute-cli/src/flags/job.rs
@@ -1,5 +1,6 @@
-//! `job`.
+//! The grammar of `job`.
 
+// The macro writes the parser, whose style is not ours.
 #![allow(clippy::all, clippy::pedantic)]
 
 use std::path::PathBuf;
--- a/crates/pimentochute-cli/src/flags/queue.rs
+++ b/crates/pimentochute-cli/src/flags/queue.rs
@@ -1,5 +1,6 @@
-//! `queue`.
+//! The grammar of `queue`.
 
+// The macro writes the parser, whose style is not ours.
 #![allow(clippy::all, clippy::pedantic)]
 
 use std::path::PathBuf;
--- a/crates/pimentochute-cli/src/flags/request.rs
+++ b/crates/pimentochute-cli/src/flags/request.rs
@@ -1,5 +1,6 @@
-//! `request`.
+//! The grammar of `request`.
 
+// The macro writes the parser, whose style is not ours.
 #![allow(clippy::all, clippy::pedantic)]
 
 use std::path::PathBuf;
--- a/crates/pimentochute-cli/src/flags/run.rs
+++ b/crates/pimentochute-cli/src/flags/run.rs
@@ -1,5 +1,6 @@
-//! `serve` and `check`.
+//! The grammar of `serve` and `check`.
 
+// The macro writes the parser, whose style is not ours.
 #![allow(clippy::all, clippy::pedantic)]
 
 use std::path::PathBuf;
--- a/crates/pimentochute-cli/src/flags/show.rs
+++ b/crates/pimentochute-cli/src/flags/show.rs
@@ -1,5 +1,6 @@
-//! `status`, `workers` and `endpoints`.
+//! The grammar of `status`, `workers` and `endpoints`.
 
+// The macro writes the parser, whose style is not ours.
 #![allow(clippy::all, clippy::pedantic)]
 
 use std::path::PathBuf;
--- a/crates/pimentochute-cli/src/flags/team.rs
+++ b/crates/pimentochute-cli/src/flags/team.rs
@@ -1,5 +1,6 @@
-//! `team`.
+//! The grammar of `team`.
 
+// The macro writes the parser, whose style is not ours.
 #![allow(clippy::all, clippy::pedantic)]
 
 use std::path::PathBuf;
--- a/crates/pimentochute-server/src/daemon.rs
+++ b/crates/pimentochute-server/src/daemon.rs
@@ -56,14 +56,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopSignal;
 
-/// Runs the daemon until a signal stops it.
+/// Runs the daemon until a signal of the process stops it.
 ///
 /// # Errors
 /// Fails if the daemon cannot start or a part fails too often.
 pub async fn run(settings: Settings) -> Result<DaemonEnd, DaemonError> {
+    run_with(settings, assemble).await
+}
+
+/// As [`run`], with parts that `build` makes.
+///
+/// # Errors
+/// Fails if the daemon cannot start or a part fails too often.
+pub async fn run_with<F, R>(settings: Settings, build: F) -> Result<DaemonEnd, DaemonError>
+where
+    F: FnOnce(DaemonContext) -> R,
+    R: Future<Output = Result<DaemonParts, DaemonError>>,
+{
     let daemon = Daemon::bind(settings, MilliClock::system()).await?;
     let signals = stop::process_signals()?;
-    let parts = assemble(daemon.context()).await?;
+    let parts = build(daemon.context().clone()).await?;
     daemon.run(parts, signals).await
 }
 
--- a/crates/pimentochute-server/src/http_server/body.rs
+++ b/crates/pimentochute-server/src/http_server/body.rs
@@ -72,10 +72,14 @@
         };
         let read = Limited::new(body, limit).collect();
         match timeout(self.limits.body_timeout_ms.as_duration(), read).await {
-            Ok(Ok(content)) => Ok(ReadBody {
-                content: content.to_bytes(),
-                _memory: memory,
-            }),
+            Ok(Ok(content)) => {
+                let content = content.to_bytes();
+                let memory = shrunk(memory, content.len());
+                Ok(ReadBody {
+                    content,
+                    _memory: memory,
+                })
+            }
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(self.too_large()),
             Ok(Err(_)) => Err(Refusal::invalid("the body is cut off", "send it whole")),
             Err(_) => Err(self.too_late()),
@@ -113,6 +117,11 @@
     }
 }
 
+/// Gives back what a body of unknown length did not need.
+fn shrunk(mut memory: OwnedSemaphorePermit, bytes: usize) -> OwnedSemaphorePermit {
+    memory.split(bytes).unwrap_or(memory)
+}
+
 fn announced_bytes(request: &Request<Body>) -> Option<u64> {
     let value = request.headers().get(CONTENT_LENGTH)?;
     value.to_str().ok()?.parse().ok()
--- a/crates/pimentochute-server/src/lib.rs
+++ b/crates/pimentochute-server/src/lib.rs
@@ -23,7 +23,9 @@
 pub use admission::{AdmissionCheck, AdmittedWork, CallerIdentity};
 pub use assembly::{DaemonContext, assemble};
 pub use control::{ControlPlane, SubmitError};
-pub use daemon::{Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run};
+pub use daemon::{
+    Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run, run_with,
+};
 pub use drain::{DrainGate, FlightGuard, FlightInfo};
 pub use heartbeat_loop::HeartbeatLoop;
 pub use http_server::{BindError, HttpServer, ServerContext};
--- a/tests/tests/server_drain.rs
+++ b/tests/tests/server_drain.rs
@@ -7,7 +7,7 @@
 
 use futures::future::join_all;
 use http::StatusCode;
-use pimentochute_server::DaemonEnd;
+use pimentochute_server::{ChildError, ChildSpec, DaemonEnd};
 use serde_json::json;
 use server_support::client::{Answer, HANG, TestDaemon};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -118,6 +118,29 @@
     assert_eq!(end_of(daemon).await, DaemonEnd::Cut { calls: 1 });
 }
 
+/// Guards against a daemon that runs on without a part, or that open
+/// connections keep from ending.
+#[tokio::test]
+async fn failed_part_ends_the_daemon_with_its_reason() {
+    let broken = ChildSpec::new("config follower", |_| async {
+        Err(ChildError::new(std::io::Error::other("no such stream")))
+    });
+    let settings = json!({"supervisor": {"backoff_ms": 1, "max_failures": 2}});
+    let daemon = TestDaemon::start_with(settings, vec![broken]).await;
+    let idle = TcpStream::connect(daemon.public).await.expect("connects");
+    let end = timeout(HANG, daemon.run)
+        .await
+        .expect("ends")
+        .expect("no panic");
+    let reason = end.expect_err("fails").to_string();
+    assert!(
+        reason.contains("config follower failed 3 times"),
+        "{reason}"
+    );
+    assert!(reason.contains("no such stream"), "{reason}");
+    drop(idle);
+}
+
 /// Guards against a host that takes traffic before it knows a configuration.
 #[tokio::test]
 async fn host_without_configuration_is_not_ready() {
--- a/tests/tests/server_limits.rs
+++ b/tests/tests/server_limits.rs
@@ -126,6 +126,24 @@
     );
 }
 
+/// Guards against small bodies of unknown length that hold the memory of the
+/// largest one until their answer.
+#[tokio::test]
+async fn body_of_unknown_length_gives_memory_back() {
+    let limits = json!({"http": {"max_body_bytes": 1_024, "max_buffered_bytes": 1_100}});
+    let daemon = TestDaemon::start(limits).await;
+    *daemon.route.delay.lock().expect("lock") = Duration::from_millis(300);
+    let text = "POST /v1/requests HTTP/1.1\r\nhost: a\r\nx-queue: open-prices\r\n\
+                connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+    let second = async {
+        daemon.routed(1).await;
+        raw(&daemon, text).await
+    };
+    let (first, second) = tokio::join!(raw(&daemon, text), second);
+    assert!(first.ends_with("echo hi"), "{first}");
+    assert!(second.ends_with("echo hi"), "{second}");
+}
+
 #[test_case(("x-deadline-ms", "0") ; "no time")]
 #[test_case(("x-deadline-ms", "300001") ; "too much time")]
 #[test_case(("x-deadline-ms", "soon") ; "no number")]
--- a/tests/tests/server_support/client.rs
+++ b/tests/tests/server_support/client.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 use pimentochute_base::{KeyDigest, MilliClock};
 use pimentochute_server::{
-    Daemon, DaemonContext, DaemonEnd, DaemonError, DaemonParts, Refusal, StopSignal,
+    ChildSpec, Daemon, DaemonContext, DaemonEnd, DaemonError, DaemonParts, Refusal, StopSignal,
 };
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
@@ -80,6 +80,11 @@
 
 impl TestDaemon {
     pub async fn start(changes: Value) -> Self {
+        Self::start_with(changes, Vec::new()).await
+    }
+
+    /// Starts a daemon with further parts under its supervisor.
+    pub async fn start_with(changes: Value, children: Vec<ChildSpec>) -> Self {
         let settings = settings_of(&daemon_settings(&changes));
         let daemon = Daemon::bind(settings, MilliClock::system())
             .await
@@ -92,7 +97,7 @@
             endpoints: route.clone(),
             beats: Arc::new(FakeBeats("a1", "north")),
             hooks: hooks.clone(),
-            children: Vec::new(),
+            children,
         };
         let (signals, receiver) = mpsc::channel(4);
         Self {
