Report settings fields that are given twice

Cause: the JSON reader kept the last of two equal fields without a word, so a check could pass settings that do not mean what they say. Change: settings are read by a visitor that notes repeated fields with their paths. Conclusion: check lists repeated fields beside the other faults.

--- a/crates/pimentochute-server/src/settings.rs
+++ b/crates/pimentochute-server/src/settings.rs
@@ -5,6 +5,7 @@
 mod document;
 mod groups;
 mod limit;
+mod reader;
 mod relations;
 
 use std::net::SocketAddr;
--- a/crates/pimentochute-server/src/settings/check.rs
+++ b/crates/pimentochute-server/src/settings/check.rs
@@ -5,6 +5,7 @@
 use serde_path_to_error::{Path, Segment};
 
 use super::document::SettingsDocument;
+use super::reader::read_json;
 use super::relations::relation_faults;
 use super::{Settings, SettingsError, SettingsFault};
 
@@ -25,10 +26,11 @@
     if text.iter().all(u8::is_ascii_whitespace) {
         return Err(SettingsError::Empty);
     }
-    let mut value: Value = serde_json::from_slice(text).map_err(|error| SettingsError::Syntax {
+    let mut faults = Vec::new();
+    let read = read_json(text, &mut faults);
+    let mut value = read.map_err(|error| SettingsError::Syntax {
         detail: error.to_string(),
     })?;
-    let mut faults = Vec::new();
     let document = read_document(&mut value, &mut faults);
     faults.extend(document.range_faults());
     let (partial, missing) = document.fill();
--- a/tests/tests/server_settings.rs
+++ b/tests/tests/server_settings.rs
@@ -76,6 +76,29 @@
     assert_eq!(paths_of(&value), expected);
 }
 
+/// Guards against a second value that silently replaces the first one.
+#[test]
+fn fields_given_twice_are_faults() {
+    let text = settings_json().to_string();
+    let twice = text.replacen(
+        '{',
+        r#"{"host": "a1", "drain": {"drain_delay_ms": 1, "drain_delay_ms": 2}, "#,
+        1,
+    );
+    let twice = twice.replacen(r#""name":"a2""#, r#""name":"a9","name":"a2""#, 1);
+    let Err(SettingsError::Faults { faults }) = check_settings(twice.as_bytes()) else {
+        panic!("accepted {twice}");
+    };
+    let mut paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    paths.sort_unstable();
+    let expected = [
+        "data_centres[0].entry_hosts[1].name",
+        "drain.drain_delay_ms",
+        "host",
+    ];
+    assert_eq!(paths, expected);
+}
+
 /// Guards against relations that are only checked once nothing is missing.
 #[test]
 fn relations_are_checked_beside_missing_values() {
