--- a/crates/pimentochute-server/src/assembly.rs
+++ b/crates/pimentochute-server/src/assembly.rs
@@ -34,6 +34,6 @@
 ///
 /// # Errors
 /// Always fails: this build holds neither a control plane nor a router.
-pub async fn assemble(_context: DaemonContext) -> Result<DaemonParts, DaemonError> {
+pub async fn assemble(_context: &DaemonContext) -> Result<DaemonParts, DaemonError> {
     Err(DaemonError::NotAssembled)
 }
--- a/crates/pimentochute-server/src/daemon.rs
+++ b/crates/pimentochute-server/src/daemon.rs
@@ -61,7 +61,7 @@
 /// # Errors
 /// Fails if the daemon cannot start or a part fails too often.
 pub async fn run(settings: Settings) -> Result<DaemonEnd, DaemonError> {
-    run_with(settings, assemble).await
+    run_with(settings, |context| async move { assemble(&context).await }).await
 }
 
 /// As [`run`], with parts that `build` makes.
