--- /dev/null
+++ b/crates/pimentochute-server/src/control/runtime.rs
@@ -0,0 +1,357 @@
+//! Puts the parts that follow and change the log-ordered state together.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use futures::future::{BoxFuture, FutureExt};
+use pimentochute_base::{NameError, StreamName};
+use pimentochute_platform::{HostDirectory, LogService, WorkerControl};
+use pimentochute_route::RequestRouter;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use super::cell::{CellChange, CellShared};
+use super::client::{PatchClient, RecordClient};
+use super::config::ConfigShared;
+use super::directory::{DirectoryPoller, HostList};
+use super::follower::{FoldTarget, LogFollower};
+use super::health::LogHealth;
+use super::monitor::FreshnessMonitor;
+use super::plane::CellPlane;
+use super::scheduler::{SchedulerLoop, SchedulerPlace};
+use super::slices::SliceManager;
+use super::snapshots::SnapshotPublisher;
+use super::workers::{UnreachableWorkers, WorkerContext, WorkerManager};
+use super::writer::{AppendPace, RecordWriter, WriterChoice, WriterQueue};
+use crate::{ChildError, ChildSpec, DaemonContext, StopHooks};
+
+/// The systems outside that the control plane uses.
+#[derive(Clone)]
+pub struct PlatformClients {
+    /// The log.
+    pub log: Arc<dyn LogService>,
+    /// The host list.
+    pub directory: Arc<dyn HostDirectory>,
+    /// The workers.
+    pub workers: Arc<dyn WorkerControl>,
+}
+
+/// The control plane with its background parts.
+pub(crate) struct ControlRuntime {
+    pub(crate) plane: Arc<CellPlane>,
+    pub(crate) config: Arc<ConfigShared>,
+    pub(crate) hosts: watch::Receiver<HostList>,
+    pub(crate) children: Vec<ChildSpec>,
+    pub(crate) hooks: Arc<dyn StopHooks>,
+}
+
+/// The names of the streams of a host.
+struct StreamNames {
+    cell: StreamName,
+    cell_snapshots: StreamName,
+    config: StreamName,
+    config_snapshots: StreamName,
+}
+
+impl ControlRuntime {
+    /// Builds the parts; none of them runs yet.
+    ///
+    /// # Errors
+    /// Fails if the data centre's name is too long for the name of a stream.
+    pub(crate) fn new(
+        context: &DaemonContext,
+        clients: &PlatformClients,
+        router: RequestRouter,
+    ) -> Result<Self, NameError> {
+        let (builder, changes, writer) = RuntimeBuilder::new(context, clients)?;
+        let poller = Arc::new(DirectoryPoller::new(
+            Arc::clone(&clients.directory),
+            context.settings.directory.poll_ms,
+        ));
+        let hosts = poller.subscribe();
+        let unreachable = Arc::new(UnreachableWorkers::default());
+        let workers = Arc::new(builder.workers(hosts.clone(), &unreachable));
+        let slices = Arc::new(builder.slices());
+        let monitor = Arc::new(builder.monitor());
+        let plane = Arc::new(builder.plane(&monitor, unreachable, router));
+        let hooks = Arc::new(ControlHooks {
+            slices: Arc::clone(&slices),
+            workers: Arc::clone(&workers),
+        });
+        let config_follower = Arc::new(builder.config_follower());
+        let cell_follower = Arc::new(builder.cell_follower());
+        let scheduler = Arc::new(builder.scheduler(changes));
+        let publisher = Arc::new(builder.publisher());
+        let children = vec![
+            endless("config follower", config_follower, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("cell follower", cell_follower, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("batched writer", Arc::new(writer), |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("slice manager", slices, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("scheduler loop", scheduler, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("worker manager", workers, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("directory poller", poller, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("freshness monitor", monitor, |part| {
+                async move { part.run().await }.boxed()
+            }),
+            endless("snapshot publisher", publisher, |part| {
+                async move { part.run().await }.boxed()
+            }),
+        ];
+        Ok(Self {
+            plane,
+            config: builder.config,
+            hosts,
+            children,
+            hooks,
+        })
+    }
+}
+
+/// Builds the parts around the followed states.
+struct RuntimeBuilder<'a> {
+    context: &'a DaemonContext,
+    clients: &'a PlatformClients,
+    streams: StreamNames,
+    cell: Arc<CellShared>,
+    config: Arc<ConfigShared>,
+    cell_health: Arc<LogHealth>,
+    config_health: Arc<LogHealth>,
+    queue: WriterQueue,
+    client: RecordClient,
+}
+
+impl<'a> RuntimeBuilder<'a> {
+    fn new(
+        context: &'a DaemonContext,
+        clients: &'a PlatformClients,
+    ) -> Result<(Self, mpsc::UnboundedReceiver<CellChange>, RecordWriter), NameError> {
+        let streams = StreamNames::new(context)?;
+        let settings = &context.settings;
+        let slices = settings.slices.slices;
+        let (cell, changes) = CellShared::new(settings.host.clone(), context.incarnation, slices);
+        let cell = Arc::new(cell);
+        let choice: Arc<dyn WriterChoice> = cell.clone();
+        let pace = AppendPace {
+            writer: settings.log.append_ms,
+            fallback: settings.log.direct_append_ms,
+        };
+        let (writer, queue) = RecordWriter::new(
+            Arc::clone(&clients.log),
+            Arc::clone(&context.link),
+            choice,
+            streams.cell.clone(),
+            pace,
+        );
+        let wait = settings.log.outcome_wait_ms;
+        let client = RecordClient::new(Arc::clone(&cell), queue.clone(), wait);
+        let builder = Self {
+            context,
+            clients,
+            streams,
+            cell,
+            config: Arc::new(ConfigShared::new()),
+            cell_health: Arc::new(LogHealth::new(context.clock.clone())),
+            config_health: Arc::new(LogHealth::new(context.clock.clone())),
+            queue,
+            client,
+        };
+        Ok((builder, changes, writer))
+    }
+
+    fn workers(
+        &self,
+        hosts: watch::Receiver<HostList>,
+        unreachable: &Arc<UnreachableWorkers>,
+    ) -> WorkerManager {
+        let settings = &self.context.settings;
+        WorkerManager::new(WorkerContext {
+            cell: Arc::clone(&self.cell),
+            client: self.client.clone(),
+            control: Arc::clone(&self.clients.workers),
+            table: Arc::clone(&self.context.peers),
+            clock: self.context.clock.clone(),
+            settings: settings.workers,
+            data_centre: settings.data_centre.clone(),
+            hosts,
+            releasing: AtomicBool::new(false),
+            unreachable: Arc::clone(unreachable),
+            log_health: Arc::clone(&self.cell_health),
+        })
+    }
+
+    fn slices(&self) -> SliceManager {
+        SliceManager::new(
+            Arc::clone(&self.cell),
+            self.client.clone(),
+            Arc::clone(&self.context.peers),
+            self.context.clock.clone(),
+            self.context.settings.slices.takeover_ms,
+            Arc::clone(&self.context.gate),
+        )
+    }
+
+    fn monitor(&self) -> FreshnessMonitor {
+        FreshnessMonitor::new(
+            Arc::clone(&self.config),
+            Arc::clone(&self.config_health),
+            Arc::clone(&self.context.peers),
+            Arc::clone(&self.context.link),
+            self.context.clock.clone(),
+            self.context.settings.configuration,
+        )
+    }
+
+    fn scheduler(&self, changes: mpsc::UnboundedReceiver<CellChange>) -> SchedulerLoop {
+        let settings = &self.context.settings;
+        let place = SchedulerPlace {
+            data_centre: settings.data_centre.clone(),
+            data_centres: self.context.peers.centres(),
+            probe_interval: settings.workers.quarantine_probe_ms,
+        };
+        SchedulerLoop::new(
+            Arc::clone(&self.cell),
+            Arc::clone(&self.config),
+            self.client.clone(),
+            self.context.clock.clone(),
+            place,
+            changes,
+        )
+    }
+
+    fn publisher(&self) -> SnapshotPublisher {
+        SnapshotPublisher {
+            log: Arc::clone(&self.clients.log),
+            cell: Arc::clone(&self.cell),
+            config: Arc::clone(&self.config),
+            cell_stream: self.streams.cell_snapshots.clone(),
+            config_stream: self.streams.config_snapshots.clone(),
+            cell_health: Arc::clone(&self.cell_health),
+            config_health: Arc::clone(&self.config_health),
+            interval: self.context.settings.log.snapshot_ms,
+        }
+    }
+
+    fn plane(
+        &self,
+        monitor: &Arc<FreshnessMonitor>,
+        unreachable: Arc<UnreachableWorkers>,
+        router: RequestRouter,
+    ) -> CellPlane {
+        let patches = PatchClient::new(
+            Arc::clone(&self.clients.log),
+            self.streams.config.clone(),
+            Arc::clone(&self.config),
+            self.context.settings.log.outcome_wait_ms,
+        );
+        CellPlane {
+            cell: Arc::clone(&self.cell),
+            config: Arc::clone(&self.config),
+            client: self.client.clone(),
+            patches,
+            queue: self.queue.clone(),
+            monitor: Arc::clone(monitor),
+            cell_health: Arc::clone(&self.cell_health),
+            config_health: Arc::clone(&self.config_health),
+            unreachable,
+            router,
+            table: Arc::clone(&self.context.peers),
+            gate: Arc::clone(&self.context.gate),
+            clock: self.context.clock.clone(),
+            data_centre: self.context.settings.data_centre.clone(),
+        }
+    }
+
+    fn config_follower(&self) -> LogFollower {
+        let target: Arc<dyn FoldTarget> = self.config.clone();
+        let streams = (
+            self.streams.config.clone(),
+            self.streams.config_snapshots.clone(),
+        );
+        self.follower(streams, target, &self.config_health)
+    }
+
+    fn cell_follower(&self) -> LogFollower {
+        let target: Arc<dyn FoldTarget> = self.cell.clone();
+        let streams = (
+            self.streams.cell.clone(),
+            self.streams.cell_snapshots.clone(),
+        );
+        self.follower(streams, target, &self.cell_health)
+    }
+
+    fn follower(
+        &self,
+        (stream, snapshots): (StreamName, StreamName),
+        target: Arc<dyn FoldTarget>,
+        health: &Arc<LogHealth>,
+    ) -> LogFollower {
+        LogFollower::new(
+            Arc::clone(&self.clients.log),
+            self.context.clock.clone(),
+            stream,
+            snapshots,
+            target,
+            Arc::clone(health),
+            self.context.settings.log,
+        )
+    }
+}
+
+impl StreamNames {
+    fn new(context: &DaemonContext) -> Result<Self, NameError> {
+        let data_centre = &context.settings.data_centre;
+        Ok(Self {
+            cell: StreamName::new(&format!("cell.{data_centre}"))?,
+            cell_snapshots: StreamName::new(&format!("cell.{data_centre}.snapshot"))?,
+            config: StreamName::new("config")?,
+            config_snapshots: StreamName::new("config.snapshot")?,
+        })
+    }
+}
+
+/// Gives up slices and workers during a planned stop.
+struct ControlHooks {
+    slices: Arc<SliceManager>,
+    workers: Arc<WorkerManager>,
+}
+
+impl StopHooks for ControlHooks {
+    fn release_slices(&self) -> BoxFuture<'_, ()> {
+        self.slices.release_all().boxed()
+    }
+
+    fn release_workers(&self) -> BoxFuture<'_, ()> {
+        self.workers.release_all().boxed()
+    }
+}
+
+/// Makes a child of a part that runs until it is stopped.
+pub(crate) fn endless<T: Send + Sync + 'static>(
+    name: &'static str,
+    part: Arc<T>,
+    run: fn(Arc<T>) -> BoxFuture<'static, ()>,
+) -> ChildSpec {
+    ChildSpec::new(name, move |stop: CancellationToken| {
+        let running = run(Arc::clone(&part));
+        async move {
+            tokio::select! {
+                () = stop.cancelled() => Ok(()),
+                () = running => Err(ChildError::EndedEarly),
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/pimentochute-state/src/cell/mod.rs
@@ -0,0 +1,23 @@
+//! The fold of a data centre's stream.
+
+mod end;
+mod fold;
+mod job;
+pub mod limits;
+mod owner;
+mod place;
+mod restore;
+mod snapshot;
+mod submit;
+mod task;
+mod worker;
+mod writer;
+
+pub use fold::CellFold;
+pub use job::{JobOutcome, JobPhase, JobState};
+pub use owner::{SliceOwner, SliceState, TeamState};
+pub use restore::SnapshotError;
+pub use snapshot::{CellSnapshot, JobWire, SliceWire, TeamWire, WorkerWire};
+pub use task::{RetryCount, TaskPhase, TaskState};
+pub use worker::WorkerState;
+pub use writer::WriterWire;
