Say what a repeated patch made, and align the times of log lines

Change: the commands print "accepted as version N"; the hint of a rejection's reason becomes the hint of the refusal; times have three digits of the second.

--- a/crates/pimentochute-cli/src/commands/config.rs
+++ b/crates/pimentochute-cli/src/commands/config.rs
@@ -53,7 +53,7 @@
     if json {
         return print_json(&serde_json::json!({"outcome": "accepted", "version": version}));
     }
-    print_line(&format!("accepted: version {version} is in force"))
+    print_line(&format!("accepted as version {version}"))
 }
 
 fn print_config(config: &CellConfig, json: bool) -> Result<(), CliError> {
--- a/crates/pimentochute-cli/src/commands/key.rs
+++ b/crates/pimentochute-cli/src/commands/key.rs
@@ -62,7 +62,7 @@
             print_json(&json!({"outcome": "accepted", "version": version, "secret": secret}))
         }
         Ok(version) => {
-            print_remark(&format!("accepted: version {version} is in force"));
+            print_remark(&format!("accepted as version {version}"));
             print_remark("the secret follows; it is shown only now");
             print_line(secret)
         }
--- a/crates/pimentochute-cli/src/commands/patch.rs
+++ b/crates/pimentochute-cli/src/commands/patch.rs
@@ -6,7 +6,6 @@
 use pimentochute_server::api::PatchView;
 use pimentochute_server::{Refusal, RefusalCode};
 use pimentochute_state::{CellConfig, ConfigPatch, PatchOperation};
-use serde::Deserialize;
 
 use super::random_hex;
 use crate::api_client::{ApiCall, ApiClient, CALL_LIMIT, json_bytes};
@@ -22,13 +21,6 @@
 /// The page for patches.
 const PATCHES: &str = "/v1/config/patches";
 
-/// The parts of a rejection that a plain refusal lacks.
-#[derive(Deserialize)]
-struct RejectedPatch {
-    current: u64,
-    reason: String,
-}
-
 /// Builds a patch against a version of the configuration.
 pub fn build_patch(
     config: &CellConfig,
@@ -98,15 +90,8 @@
     if let Ok(PatchView::Accepted { version }) = serde_json::from_slice(&answer.body) {
         return Ok(version.get());
     }
-    let refusal: Option<Refusal> = serde_json::from_slice(&answer.body).ok();
-    let rejected: Option<RejectedPatch> = serde_json::from_slice(&answer.body).ok();
-    match (refusal, rejected) {
-        (Some(refusal), Some(rejected)) if refusal.code == RefusalCode::Conflict => {
-            Err(CliError::Rejected {
-                reason: rejected.reason,
-                current: rejected.current,
-            })
-        }
+    match serde_json::from_slice::<Refusal>(&answer.body) {
+        Ok(source) if source.code == RefusalCode::Conflict => Err(CliError::Rejected { source }),
         _ => Err(client.refusal_of(&answer, true)),
     }
 }
--- a/crates/pimentochute-cli/src/exit.rs
+++ b/crates/pimentochute-cli/src/exit.rs
@@ -100,15 +100,10 @@
         source: Refusal,
     },
     /// The patch was rejected.
-    #[display(
-        "rejected: {reason}, version {current} is in force; hint: read the version in force and make the patch again with a new id"
-    )]
+    #[display("{}; hint: {}", source.error, source.hint)]
     Rejected {
-        /// Why.
-        #[error(not(source))]
-        reason: String,
-        /// The version in force.
-        current: u64,
+        /// The reason and the version in force.
+        source: Refusal,
     },
     /// The outcome of a patch is not known.
     #[display(
--- a/crates/pimentochute-server/src/logging.rs
+++ b/crates/pimentochute-server/src/logging.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Arguments;
 use std::io;
+use std::num::NonZeroU8;
 
 use derive_more::{Display, Error};
 use fern::{Dispatch, FormatCallback};
@@ -9,7 +10,8 @@
 use pimentochute_base::{MilliClock, MilliTime};
 use serde::Serialize;
 use time::OffsetDateTime;
-use time::format_description::well_known::Rfc3339;
+use time::format_description::well_known::Iso8601;
+use time::format_description::well_known::iso8601::{Config, EncodedConfig, TimePrecision};
 
 use crate::settings::{LogFormat, LogLevel, LoggingSettings};
 
@@ -90,11 +92,20 @@
     }
 }
 
+/// Writes exactly three digits of the second, so that lines stay aligned.
+const TIME_FORMAT: EncodedConfig = Config::DEFAULT
+    .set_time_precision(TimePrecision::Second {
+        decimal_digits: NonZeroU8::new(3),
+    })
+    .encode();
+
 /// Formats a wall-clock time by RFC 3339 in UTC, with milliseconds.
 fn format_time(now: MilliTime) -> String {
     let nanos = i128::from(now.as_millis()) * 1_000_000;
     let time = OffsetDateTime::from_unix_timestamp_nanos(nanos);
-    let text = time.ok().and_then(|time| time.format(&Rfc3339).ok());
+    let text = time
+        .ok()
+        .and_then(|time| time.format(&Iso8601::<TIME_FORMAT>).ok());
     text.unwrap_or_else(|| now.to_string())
 }
 
--- a/crates/pimentochute-server/src/public/config_pages.rs
+++ b/crates/pimentochute-server/src/public/config_pages.rs
@@ -78,24 +78,29 @@
     }
 
     fn rejected(&self, id: &PatchId, view: &PatchView) -> Response<Body> {
-        let error = match view {
-            PatchView::Rejected { current, reason } => {
-                format!("patch {id} is rejected, version {current} is in force: {reason}")
-            }
-            PatchView::Accepted { .. } => String::new(),
-        };
-        let hint = "read the version in force and make the patch again with a new id";
-        let refusal = Refusal::new(RefusalCode::Conflict, error, hint);
+        let refusal = rejection(id, view);
         self.context.metrics.refused(refusal.code.as_str());
-        let refusal = &refusal;
         let rejected = RejectedPatch {
-            refusal,
+            refusal: &refusal,
             result: view,
         };
-        json_answer(RefusalCode::Conflict.status(), &rejected)
+        json_answer(refusal.code.status(), &rejected)
     }
 }
 
+/// Returns the refusal of a rejected patch. The hint of the reason is moved to
+/// the hint of the refusal.
+fn rejection(id: &PatchId, view: &PatchView) -> Refusal {
+    let (current, reason) = match view {
+        PatchView::Rejected { current, reason } => (*current, reason.as_str()),
+        PatchView::Accepted { version } => (*version, ""),
+    };
+    let usual = "read the version in force and make the patch again with a new id";
+    let (reason, hint) = reason.split_once("; hint: ").unwrap_or((reason, usual));
+    let error = format!("patch {id} is rejected, version {current} is in force: {reason}");
+    Refusal::new(RefusalCode::Conflict, error, hint)
+}
+
 fn check_patch(patch: &ConfigPatch) -> Result<(), Refusal> {
     let author = &patch.author;
     if author.trim().is_empty() || author.len() > MAX_AUTHOR_BYTES {
