--- a/crates/pimentochute-server/src/lib.rs
+++ b/crates/pimentochute-server/src/lib.rs
@@ -26,7 +26,9 @@
     ConfigFreshness, ControlPlane, FreshnessFacts, PlatformClients, SliceAction, SliceFacts,
     SubmitError,
 };
-pub use daemon::{Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run};
+pub use daemon::{
+    Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run, run_with,
+};
 pub use drain::{DrainGate, FlightGuard, FlightInfo};
 pub use heartbeat_loop::HeartbeatLoop;
 pub use http_server::{BindError, HttpServer, ServerContext};
