Test the bounds of the repetition window

Cause: with the floor of the window moved one too low, no test failed; the repetition of the lowest remembered record would have been valid.

Change: two tests, for records behind the window and for the number of writers.

--- a/tests/tests/state_cell/bounds.rs
+++ b/tests/tests/state_cell/bounds.rs
@@ -1,7 +1,7 @@
 //! Ended jobs and other bounded lists.
 
-use pimentochute_base::{JobId, WorkKind};
-use pimentochute_state::{CellRecord, limits};
+use pimentochute_base::{HostIncarnation, JobId, WorkKind};
+use pimentochute_state::{CellRecord, InvalidReason, limits};
 
 use super::support::{CellDriver, job_spec, seen, worker};
 
@@ -56,3 +56,41 @@
     assert!(driver.fold.worker(&worker("old0")).is_none());
     assert!(driver.fold.worker(&worker("old1")).is_some());
 }
+
+/// Guards against a repetition counting once its tag has left the window, and
+/// against the window growing without a bound over a missing record.
+#[test]
+fn records_behind_the_window_stay_repeated() {
+    let mut driver = CellDriver::empty();
+    let missing = driver.stamp(seen("w0", 1, 1_000));
+    let first = driver.stamp(seen("w1", 1, 1_000));
+    let mut records = vec![first.clone()];
+    for index in 0..limits::MAX_LATE_RECORDS {
+        records.push(driver.stamp(seen("w1", 1, 2_000 + index as u64)));
+    }
+    let last = records[records.len() - 1].clone();
+    for chunk in records.chunks(1_000) {
+        let outcomes = driver.append_batch(chunk.to_vec());
+        assert!(outcomes.iter().all(|outcome| outcome.effect.is_ok()));
+    }
+    for record in [first, last, missing] {
+        let effect = driver.append(record).effect;
+        assert_eq!(effect, Err(InvalidReason::RepeatedRecord));
+    }
+    let writers = driver.fold.snapshot().writers;
+    assert!(writers.iter().all(|writer| writer.above.is_empty()));
+}
+
+/// Guards against hosts that are replaced every day filling the memory.
+#[test]
+fn number_of_writers_is_bounded() {
+    let mut driver = CellDriver::empty();
+    for run in 0..=limits::MAX_WRITERS {
+        let mut record = driver.stamp(seen("w1", 1, 1_000 + run as u64));
+        record.tag.incarnation = HostIncarnation::new(run as u64);
+        driver.append(record);
+    }
+    let writers = driver.fold.snapshot().writers;
+    assert_eq!(writers.len(), limits::MAX_WRITERS);
+    assert_eq!(writers[0].incarnation, HostIncarnation::new(1));
+}
