Name a control epoch in the test of the repetition window

Change: each sighting names the next epoch; the assertions are the same. Conclusion: no rule was changed.

--- a/tests/tests/state_cell/bounds.rs
+++ b/tests/tests/state_cell/bounds.rs
@@ -3,7 +3,7 @@
 use pimentochute_base::{HostIncarnation, JobId, WorkKind};
 use pimentochute_state::{CellRecord, InvalidReason, limits};
 
-use super::support::{CellDriver, job_spec, seen, worker};
+use super::support::{CellDriver, job_spec, seen, seen_under, worker};
 
 fn end_jobs(driver: &mut CellDriver, prefix: &str, count: usize) -> Vec<JobId> {
     let jobs = (0..count).map(|index| {
@@ -66,7 +66,7 @@
     let first = driver.stamp(seen("w1", 1, 1_000));
     let mut records = vec![first.clone()];
     for index in 0..limits::MAX_LATE_RECORDS {
-        records.push(driver.stamp(seen("w1", 1, 2_000 + index as u64)));
+        records.push(driver.stamp(seen_under("w1", 1, 2 + index as u64, 1_000)));
     }
     let last = records[records.len() - 1].clone();
     for chunk in records.chunks(1_000) {
