Test that a silent endpoint ends as unknown at the deadline

Cause: without the router's own bound on a send the tests hung instead of failing. Change: a test with a bounded wait. Conclusion: the removal of the bound now fails a test.

--- a/tests/tests/route_attempts.rs
+++ b/tests/tests/route_attempts.rs
@@ -232,6 +232,19 @@
     assert!(stats.retries_denied > 0);
 }
 
+/// Guards against a connection that never responds keeping its caller beyond
+/// the deadline.
+#[tokio::test(start_paused = true)]
+async fn silent_endpoint_ends_as_unknown_at_the_deadline() {
+    let bench = Bench::new(RouterSettings::default(), 1, 2);
+    bench.site.at(0, |e| e.usual = Fault::Silent);
+    let handle = start(&bench.router, request("r", "a", false, 300)).await;
+    wait(310).await;
+    assert!(handle.is_finished());
+    let result = handle.await.expect("no panic");
+    assert_eq!(result, Err(RouteError::OutcomeUnknown));
+}
+
 /// Guards against a late answer of an abandoned request reaching the next
 /// caller over the same connection.
 #[tokio::test(start_paused = true)]
