Correct the wording of log lines and comments

Cause: the log line of a forward did not read as a sentence, and an endpoint with the smallest part of its slots in use was described as the one with the most free slots. Change: the reason is a full clause; a few comments name things directly. Conclusion: each decision line states where a request goes and why.

--- a/crates/pimentochute-route/src/flow.rs
+++ b/crates/pimentochute-route/src/flow.rs
@@ -1,4 +1,4 @@
-//! The way of one request from admission to its result.
+//! Processing of one request from its admission to its result.
 
 use std::sync::Arc;
 
@@ -50,7 +50,7 @@
 }
 
 impl RequestFlow {
-    /// Starts the way of an admitted request.
+    /// Creates the flow of an admitted request.
     pub(crate) fn new(shared: Arc<RouterShared>, request: RoutedRequest) -> Self {
         let local = request.origin == RequestOrigin::Caller;
         let need = RequestNeed {
@@ -138,7 +138,7 @@
                 let (span, lapse) = self.begin_attempt();
                 slot.lapse = Some(lapse);
                 self.attempts += 1;
-                self.log_attempt("endpoint", name.as_str(), "has the most free slots");
+                self.log_attempt("endpoint", name.as_str(), "its slots are the least used");
                 let end = self.shared.send(guard, self.endpoint_request(span)).await;
                 self.attempts -= u32::from(matches!(end, AttemptEnd::NotSent(_)));
                 end
--- a/crates/pimentochute-route/src/router.rs
+++ b/crates/pimentochute-route/src/router.rs
@@ -108,7 +108,7 @@
             return Err(RouteError::NoEndpoint { service });
         }
         let local = request.origin == RequestOrigin::Caller;
-        // A team without permits on this host would wait in vain.
+        // A team without permits on this host would wait until its deadline.
         if local
             && state
                 .teams
--- a/crates/pimentochute-route/src/shared.rs
+++ b/crates/pimentochute-route/src/shared.rs
@@ -25,7 +25,7 @@
     pub(crate) drained: Notify,
 }
 
-/// The way in which a request continues.
+/// How a request continues.
 pub(crate) enum RequestTurn {
     /// The request goes on at once.
     Now(RequestGrant),
--- a/crates/pimentochute-route/src/verdict.rs
+++ b/crates/pimentochute-route/src/verdict.rs
@@ -133,7 +133,7 @@
         let number = self.attempts.max(1);
         info!(
             "router: request {id:?} of team {team} for service {service}: \
-             attempt {number} goes to {kind} {place}, because it {why}"
+             attempt {number} goes to {kind} {place}, because {why}"
         );
     }
 
--- a/tests/tests/route_fair.rs
+++ b/tests/tests/route_fair.rs
@@ -156,7 +156,7 @@
     drop(first);
 }
 
-/// Guards against a request that waited in vain being reported as sent, and
+/// Guards against a request that waited until its deadline being reported as sent, and
 /// against its place staying taken.
 #[tokio::test(start_paused = true)]
 async fn deadline_in_the_queue_is_not_run() {
