--- a/crates/pimentochute-server/src/control/client.rs
+++ b/crates/pimentochute-server/src/control/client.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use pimentochute_base::{MilliSpan, StreamName};
 use pimentochute_platform::{AppendError, LogService};
-use pimentochute_state::{CellRecord, ConfigPatch, ConfigRecord, PatchAnswer, RecordOutcome};
+use pimentochute_state::{
+    CellRecord, ConfigPatch, ConfigRecord, PatchAnswer, RecordOutcome, RecordTag,
+};
 use tokio::time::{Instant, timeout_at};
 
 use super::SubmitError;
@@ -35,23 +37,37 @@
     pub(crate) async fn record(&self, record: CellRecord) -> Result<RecordOutcome, SubmitError> {
         let deadline = Instant::now() + self.wait.as_duration();
         let (record, mut outcome) = self.cell.stamp(record);
-        let tag = record.tag.clone();
+        // A caller that goes away drops this future; nobody waits then.
+        let _waiter = WaiterGuard {
+            cell: &self.cell,
+            tag: record.tag.clone(),
+        };
         let result = tokio::select! {
             read = &mut outcome => return read.map_err(|_| SubmitError::Unknown),
             appended = timeout_at(deadline, self.queue.append(vec![record])) => appended,
         };
         if let Ok(Err(AppendError::NotAppended { .. })) = result {
-            self.cell.forget(&tag);
             return Err(SubmitError::NotRecorded);
         }
         if let Ok(Ok(outcome)) = timeout_at(deadline, outcome).await {
             return Ok(outcome);
         }
-        self.cell.forget(&tag);
         Err(SubmitError::Unknown)
     }
 }
 
+/// Removes the waiter of a record when it is dropped.
+struct WaiterGuard<'a> {
+    cell: &'a CellShared,
+    tag: RecordTag,
+}
+
+impl Drop for WaiterGuard<'_> {
+    fn drop(&mut self) {
+        self.cell.forget(&self.tag);
+    }
+}
+
 /// Records changes of the configuration.
 pub(crate) struct PatchClient {
     log: Arc<dyn LogService>,
--- a/spec/control.pml
+++ b/spec/control.pml
@@ -9,9 +9,9 @@
  * worker that is not renewed stops its task before its loss is declared, and
  * forgets ended attempts at once, which is worse than it may do.
  *
- * The control record and its two guarding steps, NO_READ_BACK and
- * NO_RECORD_EPOCH, are in neither docs/design.md nor the fold yet: the model
- * holds for a design that adds them, and AS_WRITTEN is the present one.
+ * The control record (WorkerSeen with its epoch) and the two guarding steps
+ * around it, NO_READ_BACK and NO_RECORD_EPOCH, came into the design after this
+ * model had found AS_WRITTEN, the design without them, to be wrong.
  *
  * Variants without a guarding step, for which a violation must be found:
  *   NO_WORKER_EPOCH   a worker accepts commands of an older control epoch
@@ -19,8 +19,8 @@
  *   NO_REACQUIRE      a manager reports an end while its own command may arrive
  *   NO_READ_BACK      a manager starts tasks before its control record is read
  *   NO_RECORD_EPOCH   the end of an attempt is valid from an earlier manager
- *   AS_WRITTEN        section 5 of docs/design.md, which has no control record:
- *                     neither NO_READ_BACK's nor NO_RECORD_EPOCH's step
+ *   AS_WRITTEN        the first design, which had no control record: neither
+ *                     NO_READ_BACK's nor NO_RECORD_EPOCH's step
  */
 #define WORKERS 2
 #define MAX_CONTROL 3
