--- a/crates/pimentochute-route/src/flow.rs
+++ b/crates/pimentochute-route/src/flow.rs
@@ -52,7 +52,7 @@
 impl RequestFlow {
     /// Creates the flow of an admitted request.
     pub(crate) fn new(shared: Arc<RouterShared>, request: RoutedRequest) -> Self {
-        let local = request.origin == RequestOrigin::Caller;
+        let local = request.origin.needs_permit();
         let need = RequestNeed {
             service: request.service.clone(),
             team: request.team.clone(),
--- a/crates/pimentochute-route/src/request.rs
+++ b/crates/pimentochute-route/src/request.rs
@@ -73,6 +73,17 @@
     /// Another host of the data centre, which holds the team's permit. The
     /// request is not forwarded again.
     Peer,
+    /// Another host of the data centre, which has no permit of the team. The
+    /// request takes a permit here, as one of a caller does.
+    Relay,
+}
+
+impl RequestOrigin {
+    /// Tells whether the request takes a permit on this host.
+    #[must_use]
+    pub const fn needs_permit(self) -> bool {
+        matches!(self, Self::Caller | Self::Relay)
+    }
 }
 
 /// A whole answer of an endpoint.
--- a/crates/pimentochute-route/src/router.rs
+++ b/crates/pimentochute-route/src/router.rs
@@ -12,8 +12,8 @@
 use crate::shared::RouterShared;
 use crate::verdict::log_refusal;
 use crate::{
-    EndpointSpec, EndpointUse, HostPosition, PeerForward, RequestOrigin, RequestRoute, RouteError,
-    RoutedAnswer, RoutedRequest, RouterLoad, RouterSettings, RouterStats, TeamQuota,
+    EndpointSpec, EndpointUse, HostPosition, PeerForward, RequestRoute, RouteError, RoutedAnswer,
+    RoutedRequest, RouterLoad, RouterSettings, RouterStats, TeamQuota,
 };
 
 /// Routes requests to endpoints; clones share their state.
@@ -107,7 +107,7 @@
             let service = request.service.clone();
             return Err(RouteError::NoEndpoint { service });
         }
-        let local = request.origin == RequestOrigin::Caller;
+        let local = request.origin.needs_permit();
         // A team without permits on this host would wait until its deadline.
         if local
             && state
--- a/crates/pimentochute-server/src/assembly.rs
+++ b/crates/pimentochute-server/src/assembly.rs
@@ -14,6 +14,7 @@
 use crate::api::EndpointView;
 use crate::control::{ControlRuntime, RouterFeed, endless};
 use crate::daemon::{DaemonError, DaemonParts};
+use crate::permit_relay::PermitRelay;
 use crate::settings::{HostPort, Settings};
 use crate::{DrainGate, EndpointList, Metrics, PeerLink, PeerTable, PlatformClients, ServiceLoad};
 
@@ -68,6 +69,16 @@
 ) -> Result<DaemonParts, DaemonError> {
     let router = request_router(context, dialer);
     let runtime = ControlRuntime::new(context, clients, router.clone())?;
+    let relay = PermitRelay {
+        route: Arc::new(router.clone()),
+        forward: Arc::clone(&context.forward),
+        config: Arc::clone(&runtime.config),
+        table: Arc::clone(&context.peers),
+        clock: context.clock.clone(),
+        position: host_position(context),
+        centre_index: index(context.settings.centre_index()),
+        centre_count: index(context.settings.data_centres.len()),
+    };
     let feed = RouterFeed {
         router: router.clone(),
         config: runtime.config,
@@ -83,7 +94,7 @@
     }));
     Ok(DaemonParts {
         control: runtime.plane.clone(),
-        route: Arc::new(router.clone()),
+        route: Arc::new(relay),
         endpoints: Arc::new(router),
         beats: runtime.plane,
         hooks: runtime.hooks,
--- a/crates/pimentochute-server/src/control.rs
+++ b/crates/pimentochute-server/src/control.rs
@@ -30,6 +30,7 @@
 use pimentochute_platform::AppendError;
 use pimentochute_state::{CellConfig, ConfigPatch, InvalidReason, JobSpec, StampedRecord};
 
+pub(crate) use config::ConfigShared;
 pub(crate) use endpoints::RouterFeed;
 pub use freshness::{ConfigFreshness, FreshnessFacts};
 pub use runtime::PlatformClients;
--- a/crates/pimentochute-server/src/lib.rs
+++ b/crates/pimentochute-server/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer_server;
 mod peer_table;
 mod peer_wire;
+mod permit_relay;
 mod public;
 mod refusal;
 pub mod settings;
--- a/crates/pimentochute-server/src/peer_server.rs
+++ b/crates/pimentochute-server/src/peer_server.rs
@@ -154,7 +154,9 @@
 
     async fn forward(&self, body: Bytes) -> Result<Bytes, PeerRefusal> {
         let mut request: RoutedRequest = decode(&body)?;
-        request.origin = RequestOrigin::Peer;
+        if request.origin == RequestOrigin::Caller {
+            request.origin = RequestOrigin::Peer;
+        }
         let result = match self.parts.route.route(request).await {
             Ok(answer) => ForwardResult::Answered(answer),
             Err(error) => ForwardResult::Failed(error),
--- /dev/null
+++ b/crates/pimentochute-server/src/permit_relay.rs
@@ -0,0 +1,105 @@
+//! Sends requests of a team without permits on this host to a host with some.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use pimentochute_base::{HostName, MilliClock, TeamName, stable_hash};
+use pimentochute_route::{
+    HostPosition, PeerForward, RequestOrigin, RequestRoute, RouteError, RoutedAnswer,
+    RoutedRequest, host_permits,
+};
+
+use crate::PeerTable;
+use crate::control::ConfigShared;
+
+/// Routes requests, on this host if the team has permits here.
+///
+/// A small limit leaves some hosts without a permit, and the balancer picks
+/// hosts freely: without the relay, such a team would be refused at random.
+pub(crate) struct PermitRelay {
+    pub(crate) route: Arc<dyn RequestRoute>,
+    pub(crate) forward: Arc<dyn PeerForward>,
+    pub(crate) config: Arc<ConfigShared>,
+    pub(crate) table: Arc<PeerTable>,
+    pub(crate) clock: MilliClock,
+    pub(crate) position: HostPosition,
+    pub(crate) centre_index: u32,
+    pub(crate) centre_count: u32,
+}
+
+impl RequestRoute for PermitRelay {
+    fn route(&self, request: RoutedRequest) -> BoxFuture<'_, Result<RoutedAnswer, RouteError>> {
+        if request.origin != RequestOrigin::Caller || self.permits(&request.team, self.position) > 0
+        {
+            return self.route.route(request);
+        }
+        self.relay(request).boxed()
+    }
+}
+
+impl PermitRelay {
+    /// Tries the hosts with permits, each request from another start, until
+    /// one is reached.
+    async fn relay(&self, request: RoutedRequest) -> Result<RoutedAnswer, RouteError> {
+        let end = self.clock.now() + request.deadline;
+        for host in self.holders(&request) {
+            let mut relayed = request.clone();
+            relayed.origin = RequestOrigin::Relay;
+            relayed.deadline = end.since(self.clock.now());
+            log::info!(
+                "relay: Request {} of team {} goes to host {host}, which has permits of the team.",
+                request.id,
+                request.team,
+            );
+            match self.forward.forward(&host, relayed).await {
+                Err(RouteError::PeerUnreachable | RouteError::Draining) => {}
+                result => return result,
+            }
+        }
+        let deadline = end.since(self.clock.now());
+        self.route
+            .route(RoutedRequest {
+                deadline,
+                ..request
+            })
+            .await
+    }
+
+    /// Returns the other staying hosts of the data centre that have permits of
+    /// the team.
+    fn holders(&self, request: &RoutedRequest) -> Vec<HostName> {
+        let hosts = self.table.hosts_of(self.table.own_centre());
+        let staying = self.table.staying_hosts(self.clock.now());
+        let holds = |index: usize| {
+            let index = u32::try_from(index).unwrap_or(u32::MAX);
+            let position = HostPosition::new(index, self.position.count);
+            index != self.position.index && self.permits(&request.team, position) > 0
+        };
+        let holding = hosts.iter().enumerate().filter(|(index, _)| holds(*index));
+        let mut holders: Vec<HostName> = holding
+            .map(|(_, host)| host.clone())
+            .filter(|host| staying.contains(host))
+            .collect();
+        if !holders.is_empty() {
+            let count = u64::try_from(holders.len()).unwrap_or(1);
+            let start = stable_hash(&request.id) % count;
+            holders.rotate_left(usize::try_from(start).unwrap_or(0));
+        }
+        holders
+    }
+
+    /// Returns the permits of a team on a host of this data centre.
+    fn permits(&self, team: &TeamName, host: HostPosition) -> u32 {
+        let config = self.config.current();
+        config.teams.get(team).map_or(0, |limits| {
+            host_permits(
+                limits.max_requests,
+                team,
+                self.centre_index,
+                self.centre_count,
+                host,
+            )
+        })
+    }
+}
--- a/tests/tests/cell_path.rs
+++ b/tests/tests/cell_path.rs
@@ -7,8 +7,9 @@
 use pimentochute_route::{RequestOrigin, RoutedRequest};
 use pimentochute_server::DaemonEnd;
 use pimentochute_server::api::{JobStatus, PatchView};
-use pimentochute_state::ConfigPatch;
+use pimentochute_state::{ConfigPatch, PatchOperation};
 use pimentochute_tests::{TaskAudit, TestCell, eventually, job_spec, team_operations};
+use serde_json::json;
 
 /// What each worker of these tests has.
 const CAPACITY: ResourceAmount = ResourceAmount::new(4_000, 4_000);
@@ -145,13 +146,21 @@
 }
 
 /// Guards against a task that is placed elsewhere while it still runs on a
-/// worker that no host can reach.
+/// worker that no host can reach. The task lease is far longer than the time
+/// in which the silence is noticed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tasks_of_an_unreachable_worker_move_after_their_leases() {
-    let (cell, workers) = small_cell(2, 2).await;
+    let settings = json!({"workers": {
+        "renew_ms": 100, "control_lease_ms": 600, "task_lease_ms": 4_000, "margin_ms": 100,
+        "isolation_ms": 500, "call_timeout_ms": 200, "stop_grace_ms": 50,
+    }});
+    let mut cell = TestCell::with_settings(&[2], settings);
+    let workers = ["w0", "w1"].map(|name| cell.add_worker(0, name, CAPACITY));
+    cell.start_all().await;
     let host = cell.host(0);
+    host.configure("setup", team_operations("print", 40)).await;
     let view = host
-        .submit(job_spec("print", "k", WorkKind::Batch, 8, "run 4000"))
+        .submit(job_spec("print", "k", WorkKind::Batch, 8, "run 8000"))
         .await;
     eventually("all tasks run", || {
         let view = host.control.job(view.id)?;
@@ -170,9 +179,13 @@
             .then_some(())
     })
     .await;
-    cell.fleet.set_unreachable(&workers[0], false);
+    // Room for the tasks of the lost worker.
+    let spare = cell.add_worker(0, "w2", CAPACITY);
     host.wait_for(view.id, JobStatus::Succeeded).await;
-    assert_eq!(audit(&cell, &workers).violations(&[]), []);
+    assert_eq!(
+        audit(&cell, &[workers[0].clone(), workers[1].clone(), spare]).violations(&[]),
+        []
+    );
 }
 
 /// Guards against answers of requests going missing on the way through a
@@ -207,3 +220,39 @@
     }
     assert_eq!(endpoint.ledger().runs.len(), 3);
 }
+
+/// Guards against a team with a small limit being refused on the hosts that
+/// hold none of its permits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn team_with_one_permit_is_served_by_every_host() {
+    let mut cell = TestCell::new(&[3]);
+    let endpoint = cell.add_endpoint(0, "e0", 3);
+    cell.start_all().await;
+    let mut operations = team_operations("print", 4);
+    for operation in &mut operations {
+        if let PatchOperation::SetTeam { config, .. } = operation {
+            config.max_requests = 1;
+        }
+    }
+    cell.host(0).configure("setup", operations).await;
+    for round in 0..4 {
+        for (index, host) in cell.running().enumerate() {
+            let request = RoutedRequest {
+                id: format!("request-{round}-{index}"),
+                team: "print".parse().expect("valid name"),
+                service: "prices".parse().expect("valid name"),
+                idempotent: false,
+                deadline: MilliSpan::new(5_000),
+                origin: RequestOrigin::Caller,
+                body: "stock check".into(),
+            };
+            let started = tokio::time::Instant::now();
+            while let Err(error) = host.route.route(request.clone()).await {
+                assert!(error.is_not_run(), "{error}");
+                assert!(started.elapsed() < Duration::from_secs(10), "{error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+    assert_eq!(endpoint.ledger().runs.len(), 12);
+}
