--- a/tests/tests/schedule_focused.rs
+++ b/tests/tests/schedule_focused.rs
@@ -356,6 +356,22 @@
     assert_eq!(task_count(&placer.decide(at(4), 10)), 2);
 }
 
+/// Guards against a fleet of quarantined workers that is given one job only,
+/// since no other kind of worker has room.
+#[test]
+fn every_probe_worker_is_given_a_task() {
+    let mut placer = placer(0, 0);
+    for index in 0..3 {
+        let mut spec = worker_spec(&format!("w{index}"), "r0", 4);
+        spec.readiness = WorkerReadiness::Probe;
+        placer.set_worker(spec);
+    }
+    for name in ["s", "t", "u", "v"] {
+        placer.add_job(job(name, "a", WorkKind::Service, 1, 1));
+    }
+    assert_eq!(task_count(&placer.decide(at(0), 10)), 3);
+}
+
 /// Guards against a gang that depends on a quarantined worker.
 #[test]
 fn a_gang_does_not_probe() {
@@ -456,6 +472,21 @@
     assert_eq!(first_worker(&placer.decide(at(0), 10)), "w1");
 }
 
+/// Guards against a comparison of buckets only, in which nearly equal workers
+/// count as equal.
+#[test]
+fn batch_goes_to_the_tighter_one_of_similar_workers() {
+    let mut placer = placer(0, 0);
+    for (name, cpu) in [("w0", 14_000), ("w1", 13_000), ("w2", 13_900)] {
+        let mut spec = worker_spec(name, "r0", 16);
+        // So little memory that processor time is the dominant resource.
+        spec.capacity = ResourceAmount::new(cpu, 6 * GIB);
+        placer.set_worker(spec);
+    }
+    placer.add_job(batch("j", "a", 1, 2));
+    assert_eq!(first_worker(&placer.decide(at(0), 10)), "w1");
+}
+
 /// Guards against a service that one rack takes down.
 #[test]
 fn a_service_is_spread_over_racks() {
@@ -520,6 +551,25 @@
     }
 }
 
+/// Guards against a second job that is passed over since the first one of its
+/// size fitted nowhere but in held room.
+#[test]
+fn several_jobs_use_held_room_in_one_call() {
+    let start = GANG_HOLD_AFTER.as_millis();
+    let mut placer = placer(2, 4);
+    let mut long = committed("old", 0, 1, "w0", 4);
+    long.expected_end = Some(at(start + 70_000));
+    placer.commit(long);
+    placer.add_job(job("g", "a", WorkKind::Gang, 2, 4));
+    assert!(placer.decide(at(start), 10).is_empty());
+    for name in ["s1", "s2", "s3"] {
+        let mut short = batch(name, "b", 1, 1);
+        short.expected_run = Some(MilliSpan::new(1_000));
+        placer.add_job(short);
+    }
+    assert_eq!(task_count(&placer.decide(at(start + 1), 10)), 3);
+}
+
 /// Guards against urgent work that waits for room which nobody uses.
 #[test_case(PriorityClass::Urgent, 1)]
 #[test_case(PriorityClass::Normal, 0)]
