--- a/crates/pimentochute-schedule/examples/decision_bench/replay.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/replay.rs
@@ -237,7 +237,7 @@
 pub struct PlacerPlayer {
     placer: JobPlacer,
     indexes: HashMap<JobId, usize>,
-    /// The first attempts of all jobs, by position.
+    /// The jobs by position.
     jobs: Vec<JobId>,
 }
 
--- a/crates/pimentochute-schedule/src/class_order.rs
+++ b/crates/pimentochute-schedule/src/class_order.rs
@@ -7,7 +7,7 @@
 use crate::TurnReason;
 
 /// The number of priority classes.
-pub(crate) const CLASS_COUNT: usize = 3;
+pub const CLASS_COUNT: usize = 3;
 
 /// A class that has work due goes first after this many tasks of higher
 /// classes were placed: these get at most 32 of 33 placements while a lower
--- a/crates/pimentochute-schedule/src/decide.rs
+++ b/crates/pimentochute-schedule/src/decide.rs
@@ -1,16 +1,15 @@
 //! The decisions.
 
-use pimentochute_base::{MilliSpan, MilliTime, PriorityClass, TaskIndex, WorkKind};
+use pimentochute_base::{MilliTime, TaskIndex, WorkKind};
 use smallvec::SmallVec;
 
 use crate::class_order::CLASS_COUNT;
 use crate::job_table::JobKey;
-use crate::placement_table::PlacedTask;
 use crate::round::{DecisionRound, TurnContext};
 use crate::shape_table::ShapeKey;
 use crate::team_table::TeamKey;
 use crate::worker_table::WorkerKey;
-use crate::{FitRule, JobPlacer, JobRank, PlacementDecision, PlacementReason, TaskChoice};
+use crate::{FitRule, JobPlacer, JobRank, PlacementDecision};
 
 /// Tasks of one job placed before the teams are ranked again. Smaller runs
 /// follow the shares more closely, larger ones save time.
@@ -255,85 +254,6 @@
             None => TaskTrial::Avoids,
         }
     }
-
-    /// Moves a ready task to a worker.
-    pub(crate) fn reserve(
-        &mut self,
-        key: JobKey,
-        index: TaskIndex,
-        worker: WorkerKey,
-        now: MilliTime,
-    ) -> Option<TaskChoice> {
-        let state = self.workers.get(worker)?;
-        let (name, incarnation) = (state.name.clone(), state.incarnation);
-        let job = self.jobs.get_mut(key)?;
-        let waiting = job.ready.remove(&index)?;
-        let attempt = waiting.attempt;
-        let placed = PlacedTask {
-            job: job.id,
-            task: index,
-            attempt,
-            team: job.team,
-            kind: job.kind,
-            worker,
-            demand: job.demand,
-            expected_end: job.times.expected_run.map(|run| now + run),
-            probe_era: None,
-            reserved: Some(Box::new(waiting)),
-        };
-        self.occupy(placed);
-        Some(TaskChoice {
-            task: index,
-            attempt,
-            worker: name,
-            incarnation,
-        })
-    }
-
-    fn report_task(
-        &self,
-        key: JobKey,
-        choice: TaskChoice,
-        why: PlacementReason,
-        round: &mut DecisionRound,
-    ) {
-        if let Some(decision) = self.new_decision(key, Vec::new(), why) {
-            round.add_task(key, choice, decision);
-        }
-    }
-
-    pub(crate) fn new_decision(
-        &self,
-        key: JobKey,
-        tasks: Vec<TaskChoice>,
-        why: PlacementReason,
-    ) -> Option<PlacementDecision> {
-        let job = self.jobs.get(key)?;
-        Some(PlacementDecision {
-            job: job.id,
-            team: self.teams.get(job.team)?.name.clone(),
-            tasks,
-            why,
-        })
-    }
-
-    pub(crate) fn reason(
-        &self,
-        key: JobKey,
-        context: TurnContext,
-        fit: FitRule,
-        now: MilliTime,
-    ) -> PlacementReason {
-        let job = self.jobs.get(key);
-        let used = job.and_then(|job| self.teams.get(job.team)).map(|t| t.used);
-        PlacementReason {
-            class: job.map_or(PriorityClass::Normal, |job| job.priority),
-            turn: context.turn,
-            share_ppm: used.map_or(0, |used| self.workers.scale().dominant_ppm(&used)),
-            waited: job.map_or(MilliSpan::ZERO, |job| job.waited(now)),
-            fit,
-        }
-    }
 }
 
 /// What became of a task that was tried.
--- a/crates/pimentochute-schedule/src/lib.rs
+++ b/crates/pimentochute-schedule/src/lib.rs
@@ -15,6 +15,7 @@
 mod placement_table;
 mod placer;
 mod refusal;
+mod reserve;
 mod round;
 mod settings;
 mod shape_table;
@@ -28,7 +29,7 @@
 mod worker_table;
 
 pub use class_order::{
-    BoundedPriority, ClassOrder, PASSES_UNTIL_TURN, StrictPriority, class_index,
+    BoundedPriority, CLASS_COUNT, ClassOrder, PASSES_UNTIL_TURN, StrictPriority, class_index,
 };
 pub use decision::{
     FitRule, JobRefusal, PlacementDecision, PlacementReason, PlacerStats, RefusalReason,
