--- a/crates/pimentochute-schedule/examples/decision_bench/main.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/main.rs
@@ -14,6 +14,7 @@
 
 mod baseline;
 mod cost;
+mod hosts;
 mod memory;
 mod quality;
 mod replay;
--- a/crates/pimentochute-schedule/examples/decision_bench/quality.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/quality.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::baseline::{BaselinePlayer, BaselineRule};
+use crate::hosts::{HOSTS, HostsPlayer};
 use crate::replay::{CLASSES, PlacerPlayer, ReplayPlayer, ReplayResult, play};
 use crate::report::{Better, print, quantile};
 use crate::sample::SampleSource;
@@ -72,6 +73,21 @@
         let player = || PlacerPlayer::new(fleet, settings());
         tell(name, &mut play_all(fleet, lists, player));
     }
+    compare_hosts(fleet, &lists[0]);
+}
+
+/// Tells how several hosts with a placer each fare on the first list.
+fn compare_hosts(fleet: &FleetShape, list: &[Arrival]) {
+    let mut alone = PlacerPlayer::new(fleet, PlacerSettings::new());
+    tell(
+        "one host, first list",
+        &mut play(&mut alone, fleet, list, SPAN),
+    );
+    let mut player = HostsPlayer::new(fleet);
+    let mut result = play(&mut player, fleet, list, SPAN);
+    tell(&format!("{HOSTS} hosts, first list"), &mut result);
+    let [records, invalid] = player.records;
+    eprintln!("  {invalid} of {records} records of {HOSTS} hosts were invalid");
 }
 
 /// Plays each list with a new player; the results are taken together.
--- a/crates/pimentochute-schedule/examples/decision_bench/replay.rs
+++ b/crates/pimentochute-schedule/examples/decision_bench/replay.rs
@@ -19,6 +19,11 @@
 
     /// Frees a task that ended.
     fn end(&mut self, index: usize, task: u32);
+
+    /// Returns when the player has to be called next, if that is known.
+    fn next_due(&self) -> Option<MilliTime> {
+        None
+    }
 }
 
 /// What a replay measured, over the arrivals after the first tenth.
@@ -112,7 +117,11 @@
         }
         let arrival = arrivals.get(next).map(|a| a.job.submitted.as_millis());
         let end = ends.peek().map(|end| end.0.0);
-        let step = [arrival, end, Some(now + TICK)].into_iter().flatten().min();
+        let due = player.next_due().map(MilliTime::as_millis);
+        let step = [arrival, end, due, Some(now + TICK)]
+            .into_iter()
+            .flatten()
+            .min();
         let until = step.unwrap_or(span).min(span);
         run.note_time(now, until);
         if until >= span {
