schedule: add one waiting task without the whole job

Cause: a retry of one task made the caller list all waiting tasks of its job again, which costs time in proportion to the job. Change: JobPlacer::add_task, which tells when the job has to be added again. Conclusion: staying in step costs per task, not per job.

--- a/crates/pimentochute-schedule/src/job_table.rs
+++ b/crates/pimentochute-schedule/src/job_table.rs
@@ -9,6 +9,7 @@
 
 use crate::shape_table::ShapeKey;
 use crate::team_table::TeamKey;
+use crate::upkeep::TaskAdmission;
 use crate::{HoldLimits, JobRank, JobTimes, WaitingTask};
 
 new_key_type! {
@@ -84,6 +85,17 @@
         }
     }
 
+    /// Adds a task that the job lists.
+    pub fn admit(&mut self, admission: TaskAdmission) {
+        match admission {
+            TaskAdmission::Waits(task) => self.add_task(task),
+            TaskAdmission::Reserved(index) => {
+                self.reserved.insert(index);
+            }
+            TaskAdmission::Committed => {}
+        }
+    }
+
     /// Adds a waiting task; it becomes ready when the job is woken next.
     pub fn add_task(&mut self, task: WaitingTask) {
         if task.not_before == MilliTime::ZERO {
--- a/crates/pimentochute-schedule/src/placer.rs
+++ b/crates/pimentochute-schedule/src/placer.rs
@@ -14,7 +14,8 @@
 use crate::team_table::TeamTable;
 use crate::worker_table::WorkerTable;
 use crate::{
-    CommittedTask, PlacementDecision, PlacerSettings, PlacerStats, TeamSpec, WaitingJob, WorkerSpec,
+    CommittedTask, PlacementDecision, PlacerSettings, PlacerStats, TeamSpec, WaitingJob,
+    WaitingTask, WorkerSpec,
 };
 
 /// Chooses workers for waiting tasks.
@@ -165,7 +166,8 @@
         }
         let tasks: BTreeMap<_, _> = job.tasks.into_iter().map(|t| (t.task, t)).collect();
         for task in tasks.into_values() {
-            self.add_task(&mut state, task);
+            let admission = self.admit_task(state.id, task);
+            state.admit(admission);
         }
         let key = self.jobs.insert(state);
         self.requeue(key);
@@ -177,6 +179,26 @@
         self.add_job(job);
     }
 
+    /// Adds or replaces a waiting task of a known job, at less cost than
+    /// [`JobPlacer::update_job`].
+    ///
+    /// Returns false if the job is not known: it is forgotten when none of its
+    /// tasks waits or is reserved, and has to be added again.
+    pub fn add_task(&mut self, job: JobId, task: WaitingTask) -> bool {
+        let Some(key) = self.jobs.find(job) else {
+            return false;
+        };
+        let index = task.task;
+        let admission = self.admit_task(job, task);
+        if let Some(state) = self.jobs.get_mut(key) {
+            state.drop_task(index);
+            state.admit(admission);
+        }
+        self.requeue(key);
+        self.drop_if_idle(key);
+        true
+    }
+
     /// Removes a job; its reserved and committed tasks stay counted.
     pub fn remove_job(&mut self, job: JobId) {
         if let Some(key) = self.jobs.find(job) {
--- a/crates/pimentochute-schedule/src/upkeep.rs
+++ b/crates/pimentochute-schedule/src/upkeep.rs
@@ -179,26 +179,27 @@
         }
     }
 
-    /// Adds a task to a job unless the attempt is placed already.
-    pub(crate) fn add_task(&mut self, job: &mut JobState, task: WaitingTask) {
-        let found = self.placements.find(job.id, task.task);
-        let found = found.map(|(key, placed)| (key, placed.attempt));
-        match found {
-            Some((key, attempt)) if attempt >= task.attempt => {
-                if let Some(placed) = self.placements.get_mut(key)
-                    && let Some(waiting) = &mut placed.reserved
-                {
-                    job.reserved.insert(task.task);
-                    if attempt == task.attempt {
-                        **waiting = task;
-                    }
+    /// Tells what a listed task is; an earlier attempt that is still placed is
+    /// released.
+    pub(crate) fn admit_task(&mut self, job: JobId, task: WaitingTask) -> TaskAdmission {
+        let found = self.placements.find(job, task.task);
+        let Some((key, attempt)) = found.map(|(key, placed)| (key, placed.attempt)) else {
+            return TaskAdmission::Waits(task);
+        };
+        if attempt < task.attempt {
+            self.vacate(key);
+            return TaskAdmission::Waits(task);
+        }
+        let placed = self.placements.get_mut(key);
+        match placed.and_then(|placed| placed.reserved.as_mut()) {
+            Some(waiting) => {
+                let index = task.task;
+                if attempt == task.attempt {
+                    **waiting = task;
                 }
+                TaskAdmission::Reserved(index)
             }
-            Some((key, _)) => {
-                self.vacate(key);
-                job.add_task(task);
-            }
-            None => job.add_task(task),
+            None => TaskAdmission::Committed,
         }
     }
 
@@ -222,3 +223,13 @@
         }
     }
 }
+
+/// What a task that a job lists is.
+pub(crate) enum TaskAdmission {
+    /// The task waits.
+    Waits(WaitingTask),
+    /// The task is decided, and waits again if the decision is revoked.
+    Reserved(TaskIndex),
+    /// The task is placed.
+    Committed,
+}
--- a/tests/tests/schedule_focused.rs
+++ b/tests/tests/schedule_focused.rs
@@ -251,6 +251,29 @@
     assert_eq!(task_count(&placer.decide(at(1), 10)), 1);
 }
 
+/// Guards against a retry that replaces or doubles the other tasks of its job.
+#[test]
+fn one_task_is_added_to_a_known_job() {
+    let mut placer = placer(1, 2);
+    placer.add_job(batch("j", "a", 3, 1));
+    let decisions = placer.decide(at(0), 10);
+    placer.confirm(&decisions[0]);
+    placer.release(attempt_of("j", 0, 1));
+    let mut again = WaitingTask::new(TaskIndex::new(0));
+    again.attempt = AttemptNumber::new(2);
+    assert!(placer.add_task(job_id("j"), again.clone()));
+    assert!(placer.add_task(job_id("j"), again.clone()));
+    assert_eq!(placer.stats().waiting_tasks, 2);
+    assert!(!placer.add_task(job_id("k"), again));
+}
+
+/// Guards against a placer that cannot move to the thread that uses it.
+#[test]
+fn a_placer_can_be_sent() {
+    fn check_send<T: Send>(_: &T) {}
+    check_send(&placer(0, 0));
+}
+
 /// Guards against a task that comes back although its job no longer has it.
 #[test]
 fn a_revoked_task_that_the_job_lost_does_not_return() {
--- a/tests/tests/schedule_properties.rs
+++ b/tests/tests/schedule_properties.rs
@@ -544,8 +544,30 @@
         self.placed.remove(&(job, task));
         self.attempts.insert((job, task), attempt + 1);
         self.both(|placer| placer.release(attempt_ref(job, task, attempt)));
-        if again {
+        if again && at.is_multiple_of(2) {
             self.update_job(job);
+        } else if again {
+            self.add_task(job, task);
+        }
+    }
+
+    /// Tells the placer of one task only; the job is added again if it was
+    /// forgotten.
+    fn add_task(&mut self, id: JobId, index: u32) {
+        let next = self.attempts.get(&(id, index)).copied().unwrap_or(1);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut tasks = job.tasks.iter_mut();
+        let Some(task) = tasks.find(|task| task.task.get() == index) else {
+            return;
+        };
+        task.attempt = AttemptNumber::new(next);
+        let task = task.clone();
+        let known = self.placer.add_task(id, task.clone());
+        assert_eq!(self.twin.add_task(id, task), known);
+        if !known {
+            self.update_job(id);
         }
     }
 
