schedule: end a call whose class order names a class without work

Cause: such an order made decide run forever, and a class that does not exist made it fail; both rules are open to callers through a trait. Change: the call ends; two test cases, which fail without the check (one never ends, one panics). Conclusion: a faulty order of classes cannot stop the scheduler loop.

--- a/crates/pimentochute-schedule/src/decide.rs
+++ b/crates/pimentochute-schedule/src/decide.rs
@@ -37,8 +37,12 @@
         self.serve_hold(&mut round);
         while round.left > 0 {
             let due = self.teams.classes_due();
-            let open = std::array::from_fn(|class| due[class] && !round.exhausted[class]);
-            let Some((class, turn)) = self.settings.class_order.next(open) else {
+            let open: [bool; CLASS_COUNT] =
+                std::array::from_fn(|class| due[class] && !round.exhausted[class]);
+            let next = self.settings.class_order.next(open);
+            // An order that names a class without work would never end the call.
+            let next = next.filter(|(class, _)| open.get(*class) == Some(&true));
+            let Some((class, turn)) = next else {
                 break;
             };
             let context = TurnContext { turn, owner: false };
--- a/tests/tests/schedule_focused.rs
+++ b/tests/tests/schedule_focused.rs
@@ -5,9 +5,9 @@
     RackName, ResourceAmount, TaskIndex, TeamName, WorkKind, WorkerIncarnation, WorkerName,
 };
 use pimentochute_schedule::{
-    AVOID_PATIENCE, CommittedTask, FitRule, GANG_HOLD_AFTER, HOLD_LIMIT, JobPlacer,
-    PASSES_UNTIL_TURN, PlacementDecision, PlacerSettings, RefusalReason, TeamSpec, TurnReason,
-    WaitingJob, WaitingTask, WorkerReadiness, WorkerSpec,
+    AVOID_PATIENCE, CLASS_COUNT, ClassOrder, CommittedTask, FitRule, GANG_HOLD_AFTER, HOLD_LIMIT,
+    JobPlacer, PASSES_UNTIL_TURN, PlacementDecision, PlacerSettings, RefusalReason, TeamSpec,
+    TurnReason, WaitingJob, WaitingTask, WorkerReadiness, WorkerSpec,
 };
 use test_case::test_case;
 
@@ -470,6 +470,32 @@
     }
 }
 
+/// Guards against a call that never ends, or fails, under an order of classes
+/// that names a class without work.
+#[test_case(1; "a class without work")]
+#[test_case(7; "no class at all")]
+fn a_wrong_order_of_classes_places_nothing(class: usize) {
+    #[derive(Debug)]
+    struct WrongOrder(usize);
+
+    impl ClassOrder for WrongOrder {
+        fn next(&self, _open: [bool; CLASS_COUNT]) -> Option<(usize, TurnReason)> {
+            Some((self.0, TurnReason::Priority))
+        }
+
+        fn note(&mut self, _class: usize, _tasks: u32, _due: [bool; CLASS_COUNT]) {}
+    }
+
+    let order = Box::new(WrongOrder(class));
+    let mut placer = JobPlacer::new(PlacerSettings::new().with_class_order(order));
+    placer.set_worker(worker_spec("w0", "r0", 4));
+    placer.set_team(team_spec("a", 1, 10));
+    let mut urgent = batch("u", "a", 1, 1);
+    urgent.priority = PriorityClass::Urgent;
+    placer.add_job(urgent);
+    assert!(placer.decide(at(0), 10).is_empty());
+}
+
 /// Guards against a job that misses its time behind one that has time left.
 #[test]
 fn the_job_with_least_slack_goes_first() {
