--- a/tests/tests/schedule_focused.rs
+++ b/tests/tests/schedule_focused.rs
@@ -5,9 +5,9 @@
     RackName, ResourceAmount, TaskIndex, TeamName, WorkKind, WorkerIncarnation, WorkerName,
 };
 use pimentochute_schedule::{
-    AVOID_PATIENCE, CommittedTask, FitRule, GANG_HOLD_AFTER, HOLD_LIMIT, JobPlacer,
-    PASSES_UNTIL_TURN, PlacementDecision, PlacerSettings, RefusalReason, TeamSpec, TurnReason,
-    WaitingJob, WaitingTask, WorkerReadiness, WorkerSpec,
+    AVOID_PATIENCE, CLASS_COUNT, ClassOrder, CommittedTask, FitRule, GANG_HOLD_AFTER, HOLD_LIMIT,
+    JobPlacer, PASSES_UNTIL_TURN, PlacementDecision, PlacerSettings, RefusalReason, TeamSpec,
+    TurnReason, WaitingJob, WaitingTask, WorkerReadiness, WorkerSpec,
 };
 use test_case::test_case;
 
@@ -251,6 +251,29 @@
     assert_eq!(task_count(&placer.decide(at(1), 10)), 1);
 }
 
+/// Guards against a retry that replaces or doubles the other tasks of its job.
+#[test]
+fn one_task_is_added_to_a_known_job() {
+    let mut placer = placer(1, 2);
+    placer.add_job(batch("j", "a", 3, 1));
+    let decisions = placer.decide(at(0), 10);
+    placer.confirm(&decisions[0]);
+    placer.release(attempt_of("j", 0, 1));
+    let mut again = WaitingTask::new(TaskIndex::new(0));
+    again.attempt = AttemptNumber::new(2);
+    assert!(placer.add_task(job_id("j"), again.clone()));
+    assert!(placer.add_task(job_id("j"), again.clone()));
+    assert_eq!(placer.stats().waiting_tasks, 2);
+    assert!(!placer.add_task(job_id("k"), again));
+}
+
+/// Guards against a placer that cannot move to the thread that uses it.
+#[test]
+fn a_placer_can_be_sent() {
+    fn check_send<T: Send>(_: &T) {}
+    check_send(&placer(0, 0));
+}
+
 /// Guards against a task that comes back although its job no longer has it.
 #[test]
 fn a_revoked_task_that_the_job_lost_does_not_return() {
@@ -356,6 +379,22 @@
     assert_eq!(task_count(&placer.decide(at(4), 10)), 2);
 }
 
+/// Guards against a fleet of quarantined workers that is given one job only,
+/// since no other kind of worker has room.
+#[test]
+fn every_probe_worker_is_given_a_task() {
+    let mut placer = placer(0, 0);
+    for index in 0..3 {
+        let mut spec = worker_spec(&format!("w{index}"), "r0", 4);
+        spec.readiness = WorkerReadiness::Probe;
+        placer.set_worker(spec);
+    }
+    for name in ["s", "t", "u", "v"] {
+        placer.add_job(job(name, "a", WorkKind::Service, 1, 1));
+    }
+    assert_eq!(task_count(&placer.decide(at(0), 10)), 3);
+}
+
 /// Guards against a gang that depends on a quarantined worker.
 #[test]
 fn a_gang_does_not_probe() {
@@ -431,6 +470,32 @@
     }
 }
 
+/// Guards against a call that never ends, or fails, under an order of classes
+/// that names a class without work.
+#[test_case(1; "a class without work")]
+#[test_case(7; "no class at all")]
+fn a_wrong_order_of_classes_places_nothing(class: usize) {
+    #[derive(Debug)]
+    struct WrongOrder(usize);
+
+    impl ClassOrder for WrongOrder {
+        fn next(&self, _open: [bool; CLASS_COUNT]) -> Option<(usize, TurnReason)> {
+            Some((self.0, TurnReason::Priority))
+        }
+
+        fn note(&mut self, _class: usize, _tasks: u32, _due: [bool; CLASS_COUNT]) {}
+    }
+
+    let order = Box::new(WrongOrder(class));
+    let mut placer = JobPlacer::new(PlacerSettings::new().with_class_order(order));
+    placer.set_worker(worker_spec("w0", "r0", 4));
+    placer.set_team(team_spec("a", 1, 10));
+    let mut urgent = batch("u", "a", 1, 1);
+    urgent.priority = PriorityClass::Urgent;
+    placer.add_job(urgent);
+    assert!(placer.decide(at(0), 10).is_empty());
+}
+
 /// Guards against a job that misses its time behind one that has time left.
 #[test]
 fn the_job_with_least_slack_goes_first() {
@@ -456,6 +521,21 @@
     assert_eq!(first_worker(&placer.decide(at(0), 10)), "w1");
 }
 
+/// Guards against a comparison of buckets only, in which nearly equal workers
+/// count as equal.
+#[test]
+fn batch_goes_to_the_tighter_one_of_similar_workers() {
+    let mut placer = placer(0, 0);
+    for (name, cpu) in [("w0", 14_000), ("w1", 13_000), ("w2", 13_900)] {
+        let mut spec = worker_spec(name, "r0", 16);
+        // So little memory that processor time is the dominant resource.
+        spec.capacity = ResourceAmount::new(cpu, 6 * GIB);
+        placer.set_worker(spec);
+    }
+    placer.add_job(batch("j", "a", 1, 2));
+    assert_eq!(first_worker(&placer.decide(at(0), 10)), "w1");
+}
+
 /// Guards against a service that one rack takes down.
 #[test]
 fn a_service_is_spread_over_racks() {
@@ -520,6 +600,25 @@
     }
 }
 
+/// Guards against a second job that is passed over since the first one of its
+/// size fitted nowhere but in held room.
+#[test]
+fn several_jobs_use_held_room_in_one_call() {
+    let start = GANG_HOLD_AFTER.as_millis();
+    let mut placer = placer(2, 4);
+    let mut long = committed("old", 0, 1, "w0", 4);
+    long.expected_end = Some(at(start + 70_000));
+    placer.commit(long);
+    placer.add_job(job("g", "a", WorkKind::Gang, 2, 4));
+    assert!(placer.decide(at(start), 10).is_empty());
+    for name in ["s1", "s2", "s3"] {
+        let mut short = batch(name, "b", 1, 1);
+        short.expected_run = Some(MilliSpan::new(1_000));
+        placer.add_job(short);
+    }
+    assert_eq!(task_count(&placer.decide(at(start + 1), 10)), 3);
+}
+
 /// Guards against urgent work that waits for room which nobody uses.
 #[test_case(PriorityClass::Urgent, 1)]
 #[test_case(PriorityClass::Normal, 0)]
