Add a harness that runs the programs as processes, and tests of hosts

Cause: the path was only tested within one process, where a host cannot be killed or paused by a signal.

Change: tests/src/process starts the daemon, the stand-ins and the commands as processes on idle ports, ends them by id, and checks their records and logs. tests/tests/process_hosts.rs kills, pauses and stops entry hosts.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,6 +6,7 @@
 mod fake_log;
 mod fake_worker;
 mod invariants;
+pub mod process;
 mod raw_server;
 mod shared;
 mod task_audit;
--- /dev/null
+++ b/tests/src/process/mod.rs
@@ -0,0 +1,47 @@
+//! Runs the programs as processes of their own, for the process tests and the
+//! demonstration.
+
+mod caller;
+mod cell;
+mod child;
+mod command;
+mod folder;
+mod http;
+mod process_audit;
+mod settings;
+mod standin;
+
+pub use caller::{RequestEnd, RequestSpec, TeamCaller};
+pub use cell::{CellShape, EntryHost, ProcessCell};
+pub use child::ChildProcess;
+pub use command::{CommandEnd, CommandLine};
+pub use folder::TempFolder;
+pub use http::{get_json, post_json};
+pub use process_audit::{ProcessAudit, ProcessViolation};
+pub use settings::{CellSettings, HostAddress};
+pub use standin::{EndpointProcess, PlatformProcess, WorkerProcess};
+
+use std::time::Duration;
+
+/// The longest wait for an expected state. Far above the times of the
+/// settings, so that a busy machine does not change the verdict.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+
+/// The time between two looks at a state of another process.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Waits until `look` finds something.
+///
+/// # Panics
+/// Panics if it takes longer than [`PATIENCE`].
+pub async fn wait_until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        let in_time = tokio::time::Instant::now() < deadline;
+        assert!(in_time, "not in time: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/tests/src/process/settings.rs
@@ -0,0 +1,98 @@
+//! The settings files of the entry hosts.
+
+use std::net::SocketAddr;
+
+use pimentochute_base::KeyDigest;
+use serde_json::{Value, json};
+
+/// The secret that the hosts share.
+const PEER_KEY: &str = "peer-key-of-the-test-cell-0123456789abcdef";
+
+/// The number of slices.
+pub const SLICES: u16 = 8;
+
+/// The settings that all hosts of a cell share.
+#[derive(Debug, Clone)]
+pub struct CellSettings {
+    /// The hosts of the cell.
+    pub hosts: Vec<HostAddress>,
+    /// The address of the platform.
+    pub platform: SocketAddr,
+    /// The operators' names and secrets.
+    pub operators: Vec<(String, String)>,
+    /// Groups of settings that replace those of [`CellSettings::of_host`].
+    pub changes: Value,
+}
+
+/// Where an entry host is.
+#[derive(Debug, Clone)]
+pub struct HostAddress {
+    /// The host.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its address for callers and operators.
+    pub public: SocketAddr,
+    /// Its address for other hosts.
+    pub peer: SocketAddr,
+}
+
+impl CellSettings {
+    /// Returns the settings of a host.
+    ///
+    /// Takeover and leases are about a third of the defaults, so that a test
+    /// sees them pass within seconds, and still long enough that a busy
+    /// machine does not let them lapse.
+    #[must_use]
+    pub fn of_host(&self, host: &HostAddress) -> Value {
+        let operators = self.operators.iter().map(|(name, secret)| {
+            let digest = String::from(KeyDigest::of(secret));
+            json!({"name": name, "digest": digest})
+        });
+        let mut settings = json!({
+            "host": host.name,
+            "data_centre": host.data_centre,
+            "data_centres": self.data_centres(),
+            "listen": {"public": host.public.to_string(), "peer": host.peer.to_string()},
+            "log_address": self.platform.to_string(),
+            "directory_address": self.platform.to_string(),
+            "peer_key": PEER_KEY,
+            "operator_keys": operators.collect::<Vec<_>>(),
+            "configuration": {"fresh_ms": 2_000, "key_grace_ms": 4_000},
+            "slices": {"slices": SLICES, "takeover_ms": 2_000},
+            "workers": {
+                "renew_ms": 400, "control_lease_ms": 2_000, "task_lease_ms": 6_000,
+                "margin_ms": 500, "isolation_ms": 1_500, "call_timeout_ms": 500,
+                "stop_grace_ms": 500, "quarantine_probe_ms": 1_000,
+            },
+            "peers": {"heartbeat_ms": 200, "remote_heartbeat_ms": 400, "live_ms": 1_500},
+            "log": {"append_ms": 20, "direct_append_ms": 100, "read_wait_ms": 500,
+                "call_timeout_ms": 1_000, "outcome_wait_ms": 3_000, "snapshot_ms": 2_000},
+            "directory": {"poll_ms": 200},
+            // The audit reads lines of this level.
+            "logging": {"level": "debug"},
+            "drain": {"drain_delay_ms": 500, "drain_limit_ms": 20_000},
+        });
+        for (name, change) in self.changes.as_object().into_iter().flatten() {
+            settings[name] = change.clone();
+        }
+        settings
+    }
+
+    fn data_centres(&self) -> Vec<Value> {
+        let mut centres: Vec<&str> = self.hosts.iter().map(|h| h.data_centre.as_str()).collect();
+        centres.dedup();
+        let entry = |centre: &str| {
+            let hosts = self.hosts.iter().filter(|host| host.data_centre == centre);
+            let hosts = hosts.map(|host| {
+                json!({
+                    "name": host.name,
+                    "public": host.public.to_string(),
+                    "peer": host.peer.to_string(),
+                })
+            });
+            json!({"name": centre, "entry_hosts": hosts.collect::<Vec<_>>()})
+        };
+        centres.into_iter().map(entry).collect()
+    }
+}
--- /dev/null
+++ b/tests/tests/process_hosts.rs
@@ -0,0 +1,124 @@
+//! Entry hosts that die, pause and stop while work runs.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use nix::sys::signal::Signal;
+use pimentochute_server::api::JobStatus;
+use pimentochute_tests::process::{
+    CellShape, ProcessAudit, ProcessCell, RequestEnd, RequestSpec, TeamCaller,
+};
+
+/// Longer than control and task leases of the harness.
+const PAUSE: Duration = Duration::from_secs(8);
+
+/// Sends requests one after the other.
+async fn send_all(caller: TeamCaller, specs: Vec<RequestSpec>) -> Vec<(RequestSpec, RequestEnd)> {
+    let mut ends = Vec::new();
+    for spec in specs {
+        let end = caller.request(&spec).await;
+        ends.push((spec, end));
+    }
+    ends
+}
+
+fn specs(prefix: &str, count: usize, body: &str) -> Vec<RequestSpec> {
+    let ids = (0..count).map(|index| format!("{prefix}-{index}"));
+    ids.map(|id| RequestSpec::new(&id, body)).collect()
+}
+
+/// Guards against jobs that are stuck or run twice, and against requests that
+/// run twice or are falsely called "not run", when the host that owns the
+/// team's slice dies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_finishes_once_although_the_slice_owner_is_killed() {
+    let mut cell = ProcessCell::start(CellShape::new(&[3], 3, 2)).await;
+    cell.add_team("print", 40).await;
+    let owner = cell.owner_of("print", 0).await;
+    let others: Vec<usize> = (0..3).filter(|host| *host != owner).collect();
+    let caller = cell.caller("print", others[0]);
+    let job = caller.submit_recorded("batch", "k", 18, "run 1500").await;
+    let senders = (0..3).map(|host| {
+        let specs = specs(&format!("r{host}"), 8, "sleep 200");
+        tokio::spawn(send_all(cell.caller("print", host), specs))
+    });
+    let senders: Vec<_> = senders.collect();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    cell.kill_host(owner);
+    let ends = join_all(senders).await;
+    let ends: Vec<Vec<_>> = ends.into_iter().map(|end| end.expect("no panic")).collect();
+    caller.wait_for(job, JobStatus::Succeeded).await;
+
+    let audit = ProcessAudit::of(&cell).await;
+    assert_eq!(audit.violations(&ends.concat(), &[]), []);
+    assert!((0..18).all(|task| audit.tasks.starts(job, task) == 1));
+    for host in others {
+        let answered = ends[host].iter().filter(|(_, end)| end.is_answered());
+        assert_eq!(answered.count(), 8, "{:?}", ends[host]);
+    }
+    let killed: Vec<bool> = ends[owner].iter().map(|(_, e)| e.is_answered()).collect();
+    assert!(killed.contains(&false), "the kill came after the work");
+}
+
+/// Guards against a host that goes on with stale ownership after a pause: it
+/// must neither place, start, stop nor end anything under its old epochs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_host_does_not_act_on_leases_that_lapsed() {
+    let mut cell = ProcessCell::start(CellShape::new(&[3], 3, 1)).await;
+    cell.add_team("print", 40).await;
+    let owner = cell.owner_of("print", 0).await;
+    let caller = cell.caller("print", (owner + 1) % 3);
+    let long = caller
+        .submit_recorded("batch", "long", 6, "run 11000")
+        .await;
+    caller.wait_for(long, JobStatus::Running).await;
+    cell.signal_host(owner, Signal::SIGSTOP);
+    tokio::time::sleep(PAUSE / 2).await;
+    // The job is placed by the host that took the slice over.
+    let late = caller.submit_recorded("batch", "late", 6, "run 300").await;
+    tokio::time::sleep(PAUSE / 2).await;
+    cell.signal_host(owner, Signal::SIGCONT);
+    let resumed = cell.caller("print", owner);
+    for job in [long, late] {
+        resumed.wait_for(job, JobStatus::Succeeded).await;
+        caller.wait_for(job, JobStatus::Succeeded).await;
+    }
+    let audit = ProcessAudit::of(&cell).await;
+    assert_eq!(audit.violations(&[], &[]), []);
+    for job in [long, late] {
+        assert!((0..6).all(|task| audit.tasks.starts(job, task) == 1));
+    }
+    let log = cell.host_log(owner);
+    let noticed = log.contains("is taken anew") || log.contains("does not answer");
+    assert!(noticed, "the paused host was never refused");
+}
+
+/// Guards against a planned stop that cuts requests short or loses jobs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_stop_answers_every_request_in_flight() {
+    let mut cell = ProcessCell::start(CellShape::new(&[2], 2, 2)).await;
+    cell.add_team("print", 40).await;
+    let caller = cell.caller("print", 1);
+    let job = caller.submit_recorded("batch", "k", 8, "run 2500").await;
+    let requests = specs("r", 6, "sleep 2500").into_iter().map(|spec| {
+        let caller = cell.caller("print", 0);
+        tokio::spawn(async move {
+            let end = caller.request(&spec).await;
+            (spec, end)
+        })
+    });
+    let requests: Vec<_> = requests.collect();
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    cell.signal_host(0, Signal::SIGTERM);
+    let ends = join_all(requests).await;
+    let ends: Vec<_> = ends.into_iter().map(|end| end.expect("no panic")).collect();
+    assert_eq!(cell.wait_host(0).await, 0);
+    caller.wait_for(job, JobStatus::Succeeded).await;
+
+    let audit = ProcessAudit::of(&cell).await;
+    assert_eq!(audit.violations(&ends, &[]), []);
+    assert!(ends.iter().all(|(_, end)| end.is_answered()), "{ends:?}");
+    assert!((0..8).all(|task| audit.tasks.starts(job, task) == 1));
+    let codes = cell.stop_hosts().await;
+    assert_eq!(codes, [("dc0-h1".to_owned(), 0)]);
+}
