Test hosts, log, workers and endpoints that fail, as processes

Cause: faults of whole processes (SIGKILL, SIGSTOP, a log that is down or loses answers, workers and endpoints that fail) were only met in one process on fakes.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,4 +1,5 @@
-//! In-memory fakes of the systems outside, with fault switches, for tests.
+//! In-memory fakes of the systems outside, with fault switches, for tests, and
+//! a harness that runs the programs as processes.
 
 mod fake_connection;
 mod fake_directory;
--- a/tests/src/process/cell.rs
+++ b/tests/src/process/cell.rs
@@ -1,21 +1,21 @@
 //! A cell of entry hosts with the systems outside, each a process.
 
 use std::net::SocketAddr;
-use std::process::Command;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use pimentochute_base::{ConfigVersion, KeyDigest, ResourceAmount, SliceIndex};
+use pimentochute_base::{ConfigVersion, KeyDigest, SliceIndex};
 use pimentochute_server::api::{EndpointView, StatusView, WorkerView};
 use pimentochute_state::{KeyConfig, PatchOperation, slice_of};
 use serde_json::{Value, json};
 
 use super::caller::TeamCaller;
-use super::child::ChildProcess;
 use super::command::{CommandEnd, CommandLine};
-use super::folder::{TempFolder, idle_address, program};
+use super::entry_host::EntryHost;
+use super::folder::TempFolder;
 use super::http::is_ok;
-use super::settings::{CellSettings, HostAddress, SLICES};
+use super::settings::{CellSettings, SLICES};
+use super::shape::CellShape;
 use super::standin::{EndpointProcess, PlatformProcess, WorkerProcess};
 use super::wait_until;
 use crate::team_operations;
@@ -26,24 +26,9 @@
     ("desk-b", "secret-of-the-second-operator"),
 ];
 
-/// The longest time that a host gets to stop; above its drain limit.
+/// The longest time that a stand-in gets to stop; above its own limit of 2 s.
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 
-/// What a cell consists of.
-#[derive(Debug, Clone)]
-pub struct CellShape {
-    /// The number of entry hosts of each data centre.
-    pub hosts: Vec<usize>,
-    /// The number of workers of each data centre.
-    pub workers: usize,
-    /// What each worker has.
-    pub capacity: ResourceAmount,
-    /// The number of endpoints of each data centre.
-    pub endpoints: usize,
-    /// Groups of settings that replace those of the harness.
-    pub changes: Value,
-}
-
 /// The processes of a cell; all end when it is dropped.
 #[derive(Debug)]
 pub struct ProcessCell {
@@ -60,44 +45,6 @@
     settings: CellSettings,
 }
 
-/// An entry host.
-#[derive(Debug)]
-pub struct EntryHost {
-    /// Where it is.
-    pub address: HostAddress,
-    /// Its process; none if it does not run.
-    pub process: Option<ChildProcess>,
-}
-
-impl CellShape {
-    /// Creates the shape of a cell with workers of four cores.
-    #[must_use]
-    pub fn new(hosts: &[usize], workers: usize, endpoints: usize) -> Self {
-        Self {
-            hosts: hosts.to_vec(),
-            workers,
-            capacity: ResourceAmount::new(4_000, 4_000),
-            endpoints,
-            changes: json!({}),
-        }
-    }
-
-    fn addresses(&self) -> Vec<HostAddress> {
-        let mut hosts = Vec::new();
-        for (centre, count) in self.hosts.iter().enumerate() {
-            for host in 0..*count {
-                hosts.push(HostAddress {
-                    name: format!("dc{centre}-h{host}"),
-                    data_centre: format!("dc{centre}"),
-                    public: idle_address(),
-                    peer: idle_address(),
-                });
-            }
-        }
-        hosts
-    }
-}
-
 impl ProcessCell {
     /// Starts all processes of a cell and waits until every host is ready.
     pub async fn start(shape: CellShape) -> Self {
@@ -110,10 +57,7 @@
             operators: operators.to_vec(),
             changes: shape.changes.clone(),
         };
-        let hosts = settings.hosts.iter().map(|address| EntryHost {
-            address: address.clone(),
-            process: None,
-        });
+        let hosts = settings.hosts.iter().cloned().map(EntryHost::new);
         let mut cell = Self {
             hosts: hosts.collect(),
             workers: Vec::new(),
@@ -156,15 +100,8 @@
     /// Panics if its settings cannot be written.
     pub fn spawn_host(&mut self, index: usize) {
         let host = &mut self.hosts[index];
-        let name = &host.address.name;
-        let path = self.folder.path().join(format!("{name}.json"));
         let settings = self.settings.of_host(&host.address);
-        let text = serde_json::to_vec_pretty(&settings).expect("settings have a JSON form");
-        std::fs::write(&path, text).expect("settings are written");
-        let mut command = Command::new(program("pimentochute"));
-        command.args(["serve", "--settings"]).arg(path);
-        let process = ChildProcess::spawn(name, command, self.folder.path());
-        host.process = Some(process);
+        host.spawn(&settings, self.folder.path());
     }
 
     /// Waits until a host takes traffic, every slice has an owner, and the
@@ -239,16 +176,16 @@
     /// Panics if the file cannot be written.
     pub async fn hand_in(&self, commands: &CommandLine, patch: &Value) -> CommandEnd {
         let name = format!("{}.patch.json", patch["id"].as_str().unwrap_or_default());
-        let path = self.folder.path().join(name);
-        std::fs::write(&path, patch.to_string()).expect("patch is written");
-        let path = path.display().to_string();
-        commands.run(&["config", "patch", &path]).await
+        let file = self.folder.path().join(name);
+        std::fs::write(&file, patch.to_string()).expect("patch is written");
+        let file = file.display().to_string();
+        commands.run(&["config", "patch", &file]).await
     }
 
     /// Waits until every host that runs has a version of the configuration.
     pub async fn wait_for_version(&self, version: u64) {
         for index in 0..self.hosts.len() {
-            if self.hosts[index].process.is_some() {
+            if self.hosts[index].is_running() {
                 let commands = self.operator(index, 0);
                 wait_until(&format!("host {index} has version {version}"), async || {
                     let status: StatusView = commands.read(&["status"]).await?;
@@ -281,55 +218,51 @@
             .expect("owner is a host of the cell")
     }
 
-    /// Ends a host at once, as a crash does.
-    ///
-    /// # Panics
-    /// Panics if it does not run.
-    pub fn kill_host(&mut self, index: usize) {
-        let process = self.hosts[index].process.take();
-        process.expect("host runs").kill();
-    }
-
-    /// Sends a signal to a host: SIGSTOP and SIGCONT pause it, SIGTERM starts
-    /// its planned stop.
-    ///
-    /// # Panics
-    /// Panics if it does not run.
-    pub fn signal_host(&mut self, index: usize, signal: Signal) {
-        let process = self.hosts[index].process.as_mut();
-        process.expect("host runs").signal(signal);
-    }
-
-    /// Waits for the end of a host that was told to stop and returns its exit
-    /// code.
-    ///
-    /// # Panics
-    /// Panics if it does not end.
-    pub async fn wait_host(&mut self, index: usize) -> i32 {
-        let mut process = self.hosts[index].process.take().expect("host runs");
-        process.wait(STOP_LIMIT).await.expect("host ends in time")
+    /// Returns the host that last took control of a worker, by the log lines
+    /// of the hosts.
+    #[must_use]
+    pub fn manager_of(&self, worker: &str) -> Option<usize> {
+        let line = format!("Worker {worker} is managed under epoch ");
+        let epoch = |host: usize| {
+            let log = self.hosts[host].log(self.folder.path());
+            let epochs = log.lines().filter_map(|text| text.split_once(&line));
+            let epochs = epochs.filter_map(|(_, epoch)| epoch.trim_end_matches('.').parse().ok());
+            epochs.max().map(|epoch: u64| (epoch, host))
+        };
+        let newest = (0..self.hosts.len()).filter_map(epoch).max();
+        newest.map(|(_, host)| host)
     }
 
     /// Stops all hosts that run by SIGTERM and returns their exit codes.
     pub async fn stop_hosts(&mut self) -> Vec<(String, i32)> {
-        let running = (0..self.hosts.len()).filter(|index| self.hosts[*index].process.is_some());
-        let running: Vec<usize> = running.collect();
-        for index in &running {
-            self.signal_host(*index, Signal::SIGTERM);
+        let mut running: Vec<_> = self.hosts.iter_mut().filter(|h| h.is_running()).collect();
+        for host in &mut running {
+            host.signal(Signal::SIGTERM);
         }
         let mut codes = Vec::new();
-        for index in running {
-            let code = self.wait_host(index).await;
-            codes.push((self.hosts[index].address.name.clone(), code));
+        for host in running {
+            codes.push((host.address.name.clone(), host.wait().await));
         }
         codes
     }
 
-    /// Returns the log lines of a host.
-    #[must_use]
-    pub fn host_log(&self, index: usize) -> String {
-        let name = &self.hosts[index].address.name;
-        let path = self.folder.path().join(format!("{name}.log"));
-        std::fs::read_to_string(path).unwrap_or_default()
+    /// Stops all stand-ins by SIGTERM and returns their exit codes.
+    ///
+    /// # Panics
+    /// Panics if one does not end.
+    pub async fn stop_standins(&mut self) -> Vec<(String, i32)> {
+        let workers = self.workers.iter_mut().map(WorkerProcess::process);
+        let endpoints = self.endpoints.iter_mut().map(EndpointProcess::process);
+        let platform = std::iter::once(self.platform.process());
+        let mut processes: Vec<_> = workers.chain(endpoints).chain(platform).collect();
+        for process in &mut processes {
+            process.signal(Signal::SIGTERM);
+        }
+        let mut codes = Vec::new();
+        for process in processes {
+            let code = process.wait(STOP_LIMIT).await.expect("stand-in ends");
+            codes.push((process.name().to_owned(), code));
+        }
+        codes
     }
 }
--- a/tests/src/process/child.rs
+++ b/tests/src/process/child.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Returns the name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Waits for the first line of the output.
     ///
     /// # Panics
--- a/tests/src/process/command.rs
+++ b/tests/src/process/command.rs
@@ -12,7 +12,7 @@
 use super::folder::program;
 
 /// The longest time that a command gets.
-const COMMAND_LIMIT: Duration = Duration::from_secs(60);
+const COMMAND_LIMIT: Duration = Duration::from_mins(1);
 
 /// The commands of one user at one host.
 #[derive(Debug, Clone)]
--- a/tests/src/process/mod.rs
+++ b/tests/src/process/mod.rs
@@ -1,24 +1,30 @@
 //! Runs the programs as processes of their own, for the process tests and the
 //! demonstration.
 
+mod account;
 mod caller;
 mod cell;
 mod child;
 mod command;
+mod entry_host;
 mod folder;
 mod http;
 mod process_audit;
 mod settings;
+mod shape;
 mod standin;
 
+pub use account::StepAccount;
 pub use caller::{RequestEnd, RequestSpec, TeamCaller};
-pub use cell::{CellShape, EntryHost, ProcessCell};
+pub use cell::ProcessCell;
 pub use child::ChildProcess;
 pub use command::{CommandEnd, CommandLine};
+pub use entry_host::EntryHost;
 pub use folder::TempFolder;
 pub use http::{get_json, post_json};
 pub use process_audit::{ProcessAudit, ProcessViolation};
 pub use settings::{CellSettings, HostAddress};
+pub use shape::CellShape;
 pub use standin::{EndpointProcess, PlatformProcess, WorkerProcess};
 
 use std::time::Duration;
--- a/tests/src/process/process_audit.rs
+++ b/tests/src/process/process_audit.rs
@@ -69,9 +69,9 @@
         for endpoint in &cell.endpoints {
             audit.endpoints.push(endpoint.records().await);
         }
-        for (index, host) in cell.hosts.iter().enumerate() {
+        for host in &cell.hosts {
             let name = host.address.name.clone();
-            audit.logs.push((name, cell.host_log(index)));
+            audit.logs.push((name, host.log(cell.folder.path())));
         }
         audit
     }
--- a/tests/tests/process_hosts.rs
+++ b/tests/tests/process_hosts.rs
@@ -12,6 +12,9 @@
 /// Longer than control and task leases of the harness.
 const PAUSE: Duration = Duration::from_secs(8);
 
+/// The tasks that run during a pause.
+const LONG_TASKS: u32 = 9;
+
 /// Sends requests one after the other.
 async fn send_all(caller: TeamCaller, specs: Vec<RequestSpec>) -> Vec<(RequestSpec, RequestEnd)> {
     let mut ends = Vec::new();
@@ -44,7 +47,7 @@
     });
     let senders: Vec<_> = senders.collect();
     tokio::time::sleep(Duration::from_millis(700)).await;
-    cell.kill_host(owner);
+    cell.hosts[owner].kill();
     let ends = join_all(senders).await;
     let ends: Vec<Vec<_>> = ends.into_iter().map(|end| end.expect("no panic")).collect();
     caller.wait_for(job, JobStatus::Succeeded).await;
@@ -65,32 +68,51 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn paused_host_does_not_act_on_leases_that_lapsed() {
     let mut cell = ProcessCell::start(CellShape::new(&[3], 3, 1)).await;
-    cell.add_team("print", 40).await;
-    let owner = cell.owner_of("print", 0).await;
-    let caller = cell.caller("print", (owner + 1) % 3);
+    let (team, owner) = team_of_manager(&cell).await;
+    cell.add_team(&team, 40).await;
+    let caller = cell.caller(&team, (owner + 1) % 3);
+    // Too many for two workers, so every worker runs some.
     let long = caller
-        .submit_recorded("batch", "long", 6, "run 11000")
+        .submit_recorded("batch", "long", LONG_TASKS, "run 11000")
         .await;
     caller.wait_for(long, JobStatus::Running).await;
-    cell.signal_host(owner, Signal::SIGSTOP);
+    cell.hosts[owner].signal(Signal::SIGSTOP);
     tokio::time::sleep(PAUSE / 2).await;
     // The job is placed by the host that took the slice over.
-    let late = caller.submit_recorded("batch", "late", 6, "run 300").await;
+    let late = caller.submit_recorded("batch", "late", 2, "run 300").await;
     tokio::time::sleep(PAUSE / 2).await;
-    cell.signal_host(owner, Signal::SIGCONT);
-    let resumed = cell.caller("print", owner);
+    cell.hosts[owner].signal(Signal::SIGCONT);
+    let resumed = cell.caller(&team, owner);
     for job in [long, late] {
         resumed.wait_for(job, JobStatus::Succeeded).await;
         caller.wait_for(job, JobStatus::Succeeded).await;
     }
     let audit = ProcessAudit::of(&cell).await;
     assert_eq!(audit.violations(&[], &[]), []);
-    for job in [long, late] {
-        assert!((0..6).all(|task| audit.tasks.starts(job, task) == 1));
+    for (job, tasks) in [(long, LONG_TASKS), (late, 2)] {
+        assert!((0..tasks).all(|task| audit.tasks.starts(job, task) == 1));
+    }
+    let refused = "the epoch is no longer in force at the worker";
+    let lines = cell.hosts[owner].log(cell.folder.path());
+    assert!(
+        lines.contains(refused),
+        "no late command was refused: {lines}"
+    );
+}
+
+/// Returns a host that manages a worker and owns a slice, and a team of such a
+/// slice.
+async fn team_of_manager(cell: &ProcessCell) -> (String, usize) {
+    for worker in &cell.workers {
+        let manager = cell.manager_of(worker.name()).expect("worker is managed");
+        for number in 0..100 {
+            let team = format!("team-{number}");
+            if cell.owner_of(&team, 0).await == manager {
+                return (team, manager);
+            }
+        }
     }
-    let log = cell.host_log(owner);
-    let noticed = log.contains("is taken anew") || log.contains("does not answer");
-    assert!(noticed, "the paused host was never refused");
+    panic!("no manager of a worker owns a slice");
 }
 
 /// Guards against a planned stop that cuts requests short or loses jobs.
@@ -109,10 +131,10 @@
     });
     let requests: Vec<_> = requests.collect();
     tokio::time::sleep(Duration::from_millis(1_200)).await;
-    cell.signal_host(0, Signal::SIGTERM);
+    cell.hosts[0].signal(Signal::SIGTERM);
     let ends = join_all(requests).await;
     let ends: Vec<_> = ends.into_iter().map(|end| end.expect("no panic")).collect();
-    assert_eq!(cell.wait_host(0).await, 0);
+    assert_eq!(cell.hosts[0].wait().await, 0);
     caller.wait_for(job, JobStatus::Succeeded).await;
 
     let audit = ProcessAudit::of(&cell).await;
--- /dev/null
+++ b/tests/tests/process_log.rs
@@ -0,0 +1,136 @@
+//! A log that is down, or that loses the answers of appends.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use pimentochute_base::{IdempotencyKey, JobId};
+use pimentochute_server::api::JobStatus;
+use pimentochute_standins::FaultSet;
+use pimentochute_tests::process::{
+    CellShape, ProcessAudit, ProcessCell, RequestSpec, TeamCaller, wait_until,
+};
+
+/// The exit code of a command that was refused and ran nowhere.
+const NOT_RUN: i32 = 3;
+
+/// The exit code of a command whose outcome is not known.
+const UNKNOWN: i32 = 4;
+
+fn job_id(team: &str, key: &str) -> JobId {
+    let key: IdempotencyKey = key.parse().expect("valid name");
+    JobId::new(&team.parse().expect("valid name"), &key)
+}
+
+/// Submits again with the same key until the job is recorded.
+async fn submit_until_recorded(caller: &TeamCaller, key: &str, command: &str) -> JobId {
+    wait_until(&format!("job {key} is recorded"), async || {
+        let end = caller.submit("batch", key, 1, command).await;
+        let known = [0, NOT_RUN, UNKNOWN].contains(&end.code);
+        assert!(known, "job {key}: {}", end.remarks);
+        (end.code == 0).then_some(())
+    })
+    .await;
+    job_id("print", key)
+}
+
+/// Guards against an outage of the log that stops running work or requests,
+/// loses a job, or lets a refusal "not run" be false.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn running_work_goes_on_while_the_log_is_down() {
+    let cell = ProcessCell::start(CellShape::new(&[2, 1], 2, 1)).await;
+    cell.add_team("print", 40).await;
+    let caller = cell.caller("print", 0);
+    // Longer than the task lease: it ends well only if renewals go on.
+    let long = caller.submit_recorded("batch", "long", 4, "run 9000").await;
+    let view = caller.wait_for(long, JobStatus::Running).await;
+    assert_eq!(view.tasks.len(), 4);
+    let down = FaultSet {
+        down: true,
+        ..FaultSet::default()
+    };
+    cell.platform.set_faults(down).await;
+    let (requests, refused) = tokio::join!(
+        join_all((0..6).map(async |index| {
+            let spec = RequestSpec::new(&format!("r-{index}"), "sleep 300");
+            let end = cell.caller("print", index % 2).request(&spec).await;
+            (spec, end)
+        })),
+        join_all((0..4).map(async |index| {
+            let key = format!("new-{index}");
+            let submitted = cell.caller("print", index % 2);
+            submitted.submit("batch", &key, 1, "run 200").await
+        })),
+    );
+    for end in &refused {
+        let told = end.code == NOT_RUN || end.code == UNKNOWN;
+        assert!(told, "exit code {}: {}", end.code, end.remarks);
+    }
+    // Ends after the outage began and is recorded after it is over.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    cell.platform.set_faults(FaultSet::default()).await;
+    caller.wait_for(long, JobStatus::Succeeded).await;
+    let fresh = submit_until_recorded(&caller, "fresh", "run 200").await;
+    caller.wait_for(fresh, JobStatus::Succeeded).await;
+
+    let audit = ProcessAudit::of(&cell).await;
+    assert_eq!(audit.violations(&requests, &[]), []);
+    assert!(
+        requests.iter().all(|(_, end)| end.is_answered()),
+        "{requests:?}"
+    );
+    assert!((0..4).all(|task| audit.tasks.starts(long, task) == 1));
+    for (index, end) in refused.iter().enumerate() {
+        let key = format!("new-{index}");
+        let job = job_id("print", &key);
+        if end.code == NOT_RUN {
+            assert_eq!(audit.tasks.starts(job, 0), 0, "{}", end.remarks);
+            assert!(caller.job(job).await.is_none(), "{}", end.remarks);
+        }
+        submit_until_recorded(&caller, &key, "run 200").await;
+        caller.wait_for(job, JobStatus::Succeeded).await;
+        let audit = ProcessAudit::of(&cell).await;
+        assert_eq!(audit.tasks.starts(job, 0), 1, "job {key}");
+    }
+}
+
+/// Guards against jobs that run twice or are lost when appends take effect but their answers are lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answers_of_appends_lose_and_repeat_nothing() {
+    let cell = ProcessCell::start(CellShape::new(&[2], 2, 1)).await;
+    cell.add_team("print", 40).await;
+    let caller = cell.caller("print", 0);
+    // Reads lose their answers too, so the hosts see the appends afterwards.
+    let lossy = FaultSet {
+        lose_answers: true,
+        ..FaultSet::default()
+    };
+    cell.platform.set_faults(lossy).await;
+    let during = join_all((0..4).map(async |index| {
+        let key = format!("job-{index}");
+        let caller = cell.caller("print", index % 2);
+        caller.submit("batch", &key, 1, "run 300").await
+    }));
+    let switch = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        cell.platform.set_faults(FaultSet::default()).await;
+    };
+    let (during, ()) = tokio::join!(during, switch);
+    for (index, end) in during.iter().enumerate() {
+        let told = [0, NOT_RUN, UNKNOWN].contains(&end.code);
+        assert!(told, "exit code {}: {}", end.code, end.remarks);
+        if end.code == NOT_RUN {
+            // Only a later submission makes such a job.
+            let job = job_id("print", &format!("job-{index}"));
+            assert!(caller.job(job).await.is_none(), "{}", end.remarks);
+        }
+    }
+    let other = cell.caller("print", 1);
+    for index in 0..4 {
+        let key = format!("job-{index}");
+        let job = submit_until_recorded(&other, &key, "run 300").await;
+        caller.wait_for(job, JobStatus::Succeeded).await;
+        let audit = ProcessAudit::of(&cell).await;
+        assert_eq!(audit.tasks.starts(job, 0), 1, "job {key}");
+    }
+    assert_eq!(ProcessAudit::of(&cell).await.violations(&[], &[]), []);
+}
