Add the demonstration

Cause: nobody could watch the whole path run.

It configures them with operator commands, lets two operators patch the same version, runs requests, a batch job, a gang and a service, kills the host that owns the team's slice, checks the records, withdraws the key and stops everything by SIGTERM.

--- /dev/null
+++ b/tests/src/bin/demo.rs
@@ -0,0 +1,304 @@
+//! The demonstration: runs the whole path as processes, breaks a part of it on
+//! the way, and checks the records of workers and endpoints.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use pimentochute_base::JobId;
+use pimentochute_server::api::{JobStatus, StatusView};
+use pimentochute_tests::process::{
+    CellShape, CommandLine, ProcessAudit, ProcessCell, RequestEnd, RequestSpec, StepAccount,
+    TeamCaller, wait_until,
+};
+use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The longest time for all steps.
+const LIMIT: Duration = Duration::from_mins(1);
+
+/// The team that hands in work.
+const TEAM: &str = "hemtex";
+
+/// The exit code of a rejected patch.
+const REJECTED: i32 = 5;
+
+/// The most time after which a withdrawn key has to be refused everywhere: the
+/// time in which a configuration is in force everywhere.
+const KEY_LIMIT: Duration = Duration::from_secs(12);
+
+/// The work that the demonstration hands in.
+struct DemoWork {
+    batch: JobId,
+    gang: JobId,
+    service: JobId,
+    requests: Vec<(RequestSpec, RequestEnd)>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be received");
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be received");
+    // Dropping the demonstration ends every process that it started.
+    tokio::select! {
+        failures = tokio::time::timeout(LIMIT, run()) => match failures {
+            Ok(0) => ExitCode::SUCCESS,
+            Ok(_) => ExitCode::FAILURE,
+            Err(_) => {
+                eprintln!("demo: not done within {LIMIT:?}");
+                ExitCode::FAILURE
+            }
+        },
+        _ = interrupt.recv() => ExitCode::FAILURE,
+        _ = terminate.recv() => ExitCode::FAILURE,
+    }
+}
+
+/// Runs every step and returns the number of checks that did not hold.
+async fn run() -> u32 {
+    let mut account = StepAccount::new();
+    let mut cell = ProcessCell::start(CellShape::new(&[3, 2], 2, 2)).await;
+    account.tell("started: platform; entry hosts dc0-h0..2 and dc1-h0..1; 4 workers; 4 endpoints");
+    configure(&cell, &mut account).await;
+    let key = grant_key(&cell, &mut account, "hemtex-1").await;
+    race_patches(&cell, &mut account).await;
+    let work = hand_in(&mut cell, &mut account, &key).await;
+    finish(&cell, &mut account, &key, &work).await;
+    withdraw_key(&cell, &mut account, &key).await;
+    audit(&cell, &mut account, &work).await;
+    for (host, code) in cell.stop_hosts().await {
+        account.check(
+            code == 0,
+            &format!("SIGTERM: {host} ends with exit code {code}"),
+        );
+    }
+    let codes = cell.stop_standins().await;
+    let count = codes.len();
+    let clean = codes.iter().all(|(_, code)| *code == 0);
+    let text = format!("SIGTERM: the {count} stand-ins end with exit code 0");
+    account.check(clean, &text);
+    account.close()
+}
+
+/// Sets the team and its queues with operator commands.
+async fn configure(cell: &ProcessCell, account: &mut StepAccount) {
+    let desk = cell.operator(0, 0);
+    let limits = ["--share", "2", "--max-tasks", "40", "--max-requests", "64"];
+    accept(
+        &desk,
+        account,
+        &[&["team", "set", TEAM][..], &limits].concat(),
+    )
+    .await;
+    for kind in ["batch", "gang", "service"] {
+        let queue = format!("{TEAM}-{kind}");
+        let values = ["--kind", kind, "--teams", TEAM, "--priority", "normal"];
+        accept(
+            &desk,
+            account,
+            &[&["queue", "set", &queue][..], &values].concat(),
+        )
+        .await;
+    }
+    let queue = format!("{TEAM}-prices");
+    let kind = ["--kind", "request", "--service", "prices"];
+    let values = ["--teams", TEAM, "--priority", "urgent"];
+    let prices = [&["queue", "set", &queue][..], &kind, &values].concat();
+    accept(&desk, account, &prices).await;
+}
+
+/// Runs a command whose patch has to be accepted and returns what it printed.
+async fn accept(desk: &CommandLine, account: &mut StepAccount, arguments: &[&str]) -> Value {
+    let end = desk
+        .run(&[arguments, &["--author", "desk-a"]].concat())
+        .await;
+    let version = &end.data["version"];
+    let what = arguments[..3].join(" ");
+    let text = format!("operator: {what}: version {version} {}", end.remarks);
+    account.check(end.code == 0, text.trim_end());
+    end.data
+}
+
+async fn grant_key(cell: &ProcessCell, account: &mut StepAccount, id: &str) -> String {
+    let desk = cell.operator(0, 0);
+    let granted = accept(&desk, account, &["key", "grant", id, "--team", TEAM]).await;
+    let version = granted["version"].as_u64().unwrap_or(0);
+    cell.wait_for_version(version).await;
+    account.check(
+        true,
+        &format!("version {version} is in force on all 5 hosts"),
+    );
+    granted["secret"].as_str().unwrap_or_default().to_owned()
+}
+
+/// Two operators patch the same version at hosts of different data centres.
+async fn race_patches(cell: &ProcessCell, account: &mut StepAccount) {
+    let desks = [cell.operator(0, 0), cell.operator(3, 1)];
+    let status: StatusView = desks[0].expect(&["status"]).await;
+    let patches = [("desk-a", 3), ("desk-b", 4)].map(|(author, share)| {
+        json!({
+            "id": format!("share-of-{author}"),
+            "base_version": status.config_version,
+            "author": author,
+            "operations": [{"op": "set_team", "team": TEAM,
+                "config": {"share": share, "max_tasks": 40, "max_requests": 64}}],
+        })
+    });
+    let (first, second) = tokio::join!(
+        cell.hand_in(&desks[0], &patches[0]),
+        cell.hand_in(&desks[1], &patches[1]),
+    );
+    let codes = [first.code, second.code];
+    let one_won = codes == [0, REJECTED] || codes == [REJECTED, 0];
+    let base = status.config_version;
+    let text = format!("desk-a and desk-b patch version {base}: exit codes {codes:?}");
+    account.check(one_won, &text);
+    let loser = if first.code == 0 { second } else { first };
+    account.check(
+        loser.remarks.contains("version"),
+        &format!("the other is told: {}", loser.remarks),
+    );
+}
+
+/// Hands in work of every kind, and kills a host while it runs.
+async fn hand_in(cell: &mut ProcessCell, account: &mut StepAccount, key: &str) -> DemoWork {
+    let owner = cell.owner_of(TEAM, 0).await;
+    let caller = TeamCaller::new(TEAM, key, cell.public((owner + 1) % 3));
+    let batch = caller
+        .submit_recorded("batch", "separations", 4, "run 5000")
+        .await;
+    let gang = caller
+        .submit_recorded("gang", "press-run", 2, "run 2500")
+        .await;
+    let service = caller
+        .submit_recorded("service", "preview", 1, "forever")
+        .await;
+    account.tell("submitted: a batch job of 4 tasks, a gang of 2, a service of 1");
+    for job in [batch, gang, service] {
+        caller.wait_for(job, JobStatus::Running).await;
+    }
+    account.check(true, "all three run");
+    let senders = (0..cell.hosts.len()).filter(|host| *host != owner);
+    let senders = senders.map(|host| {
+        let caller = TeamCaller::new(TEAM, key, cell.public(host));
+        tokio::spawn(send(caller, format!("price-{host}")))
+    });
+    let senders: Vec<_> = senders.collect();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    cell.hosts[owner].kill();
+    let name = &cell.hosts[owner].address.name;
+    account.tell(&format!("SIGKILL: {name}, which owned the slice of {TEAM}"));
+    let ends = join_all(senders).await.into_iter();
+    let requests: Vec<_> = ends.flat_map(|end| end.expect("no panic")).collect();
+    let answered = requests.iter().filter(|(_, end)| end.is_answered()).count();
+    account.check(
+        answered == requests.len(),
+        &format!(
+            "{answered} of {} requests through 4 hosts are answered",
+            requests.len()
+        ),
+    );
+    DemoWork {
+        batch,
+        gang,
+        service,
+        requests,
+    }
+}
+
+/// Sends requests one after the other.
+async fn send(caller: TeamCaller, prefix: String) -> Vec<(RequestSpec, RequestEnd)> {
+    let mut ends = Vec::new();
+    for index in 0..8 {
+        let spec = RequestSpec::new(&format!("{prefix}-{index}"), "sleep 150");
+        let end = caller.request(&spec).await;
+        ends.push((spec, end));
+    }
+    ends
+}
+
+/// Waits for the end of the jobs.
+async fn finish(cell: &ProcessCell, account: &mut StepAccount, key: &str, work: &DemoWork) {
+    let running = (0..3).find(|host| cell.hosts[*host].is_running());
+    let caller = TeamCaller::new(TEAM, key, cell.public(running.expect("a host runs")));
+    for (what, job) in [("batch job", work.batch), ("gang", work.gang)] {
+        caller.wait_for(job, JobStatus::Succeeded).await;
+        account.check(true, &format!("the {what} succeeded"));
+    }
+    let takes_over = wait_until("another host owns the slice", async || {
+        let running = running.expect("a host runs");
+        let owner = cell.owner_of(TEAM, running).await;
+        cell.hosts[owner].is_running().then_some(owner)
+    })
+    .await;
+    let name = &cell.hosts[takes_over].address.name;
+    account.check(true, &format!("{name} owns the slice of {TEAM} now"));
+    let late = caller.submit_recorded("batch", "late", 2, "run 300").await;
+    caller.wait_for(late, JobStatus::Succeeded).await;
+    account.check(true, "a job that was submitted after the kill succeeded");
+    let id = work.service.to_string();
+    let cancelled = caller.commands.run(&["job", "cancel", &id]).await;
+    caller.wait_for(work.service, JobStatus::Cancelled).await;
+    account.check(
+        cancelled.code == 0,
+        "the service ran until it was cancelled",
+    );
+}
+
+/// Withdraws the key and waits until every host refuses it.
+async fn withdraw_key(cell: &ProcessCell, account: &mut StepAccount, key: &str) {
+    let hosts = (0..cell.hosts.len()).filter(|host| cell.hosts[*host].is_running());
+    let hosts: Vec<usize> = hosts.collect();
+    let desk = cell.operator(hosts[0], 1);
+    accept(&desk, account, &["key", "withdraw", "hemtex-1"]).await;
+    let withdrawn = Instant::now();
+    for host in hosts {
+        let caller = TeamCaller::new(TEAM, key, cell.public(host));
+        let mut sent = 0;
+        let refusal = wait_until("the key is refused", async || {
+            sent += 1;
+            let spec = RequestSpec::new(&format!("withdrawn-{host}-{sent}"), "");
+            match caller.request(&spec).await {
+                RequestEnd::NotRun(refusal) if refusal.contains("unauthenticated") => Some(refusal),
+                _ => None,
+            }
+        })
+        .await;
+        let elapsed = withdrawn.elapsed();
+        let name = &cell.hosts[host].address.name;
+        let millis = elapsed.as_millis();
+        let text = format!("{name} refuses the key after {millis} ms: {refusal}");
+        account.check(elapsed < KEY_LIMIT, &text);
+    }
+}
+
+/// Checks the records of all workers and endpoints.
+async fn audit(cell: &ProcessCell, account: &mut StepAccount, work: &DemoWork) {
+    let audit = ProcessAudit::of(cell).await;
+    let starts =
+        |job, tasks: u32| -> usize { (0..tasks).map(|t| audit.tasks.starts(job, t)).sum() };
+    let counts = [
+        starts(work.batch, 4),
+        starts(work.gang, 2),
+        starts(work.service, 1),
+    ];
+    account.check(
+        counts == [4, 2, 1],
+        &format!("records of workers: starts of batch, gang and service are {counts:?}"),
+    );
+    let once = work
+        .requests
+        .iter()
+        .filter(|(spec, _)| audit.runs_of(&spec.id) == 1);
+    let (once, all) = (once.count(), work.requests.len());
+    account.check(
+        once == all,
+        &format!("records of endpoints: {once} of {all} requests ran exactly once"),
+    );
+    let violations = audit.violations(&work.requests, &[work.gang]);
+    let text = "no task in two places, no worker or endpoint over capacity, every answer is true";
+    account.check(violations.is_empty(), text);
+    for violation in violations {
+        account.tell(&format!("{violation:?}"));
+    }
+}
