--- a/tests/src/process/process_audit.rs
+++ b/tests/src/process/process_audit.rs
@@ -70,12 +70,16 @@
             audit.endpoints.push(endpoint.records().await);
         }
         for host in &cell.hosts {
-            let name = host.address.name.clone();
-            audit.logs.push((name, host.log(cell.folder.path())));
+            audit.add_log(&host.address.name, host.log(cell.folder.path()));
         }
         audit
     }
 
+    /// Takes in the log lines of a host.
+    pub fn add_log(&mut self, host: &str, log: String) {
+        self.logs.push((host.to_owned(), log));
+    }
+
     /// Returns what went wrong. The requests are those of one test, with their
     /// ends; `gangs` are the jobs that start again as a whole.
     #[must_use]
