Let `config patch -` read the standard input

Cause: the help text says that `-` reads the standard input, but the parser takes a hyphen that stands alone as an argument for an unknown flag: exit code 2, "unexpected flag: `-`".

Change: `config` replaces it by /dev/stdin before parsing.

--- a/crates/pimentochute-cli/src/commands/config.rs
+++ b/crates/pimentochute-cli/src/commands/config.rs
@@ -14,7 +14,14 @@
 use crate::flags::config::{Config, ConfigCmd};
 use crate::output::{print_json, print_line, print_table};
 
-pub fn run(arguments: Vec<OsString>) -> Result<ExitStatus, CliError> {
+/// The name of the standard input as a file.
+const STANDARD_INPUT: &str = "/dev/stdin";
+
+pub fn run(mut arguments: Vec<OsString>) -> Result<ExitStatus, CliError> {
+    // The parser takes a hyphen that stands alone for a flag.
+    for argument in arguments.iter_mut().filter(|argument| *argument == "-") {
+        *argument = STANDARD_INPUT.into();
+    }
     let mut flags = parsed!(Config::from_vec(arguments));
     let common = common_flags!(flags);
     let json = common.json;
