--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,4 +1,5 @@
-//! In-memory fakes of the systems outside, with fault switches, for tests.
+//! In-memory fakes of the systems outside, with fault switches, for tests, and
+//! a harness that runs the programs as processes.
 #![allow(
     clippy::missing_panics_doc,
     reason = "test support panics to fail a test"
@@ -10,6 +11,7 @@
 mod fake_log;
 mod fake_worker;
 mod invariants;
+pub mod process;
 mod raw_server;
 mod shared;
 mod task_audit;
