Hand in patches on the standard input; test a patch whose answers are lost

Cause: lost append answers were tested with jobs only, and `config patch -` had no test.

Change: the harness hands in patches by `config patch -`. The test of lost answers hands in a patch too, repeats it until the answer is "accepted", and expects exactly one version.

--- a/tests/src/bin/demo.rs
+++ b/tests/src/bin/demo.rs
@@ -144,10 +144,8 @@
                 "config": {"share": share, "max_tasks": 40, "max_requests": 64}}],
         })
     });
-    let (first, second) = tokio::join!(
-        cell.hand_in(&desks[0], &patches[0]),
-        cell.hand_in(&desks[1], &patches[1]),
-    );
+    let (first, second) =
+        tokio::join!(desks[0].hand_in(&patches[0]), desks[1].hand_in(&patches[1]),);
     let codes = [first.code, second.code];
     let one_won = codes == [0, REJECTED] || codes == [REJECTED, 0];
     let base = status.config_version;
--- a/tests/src/process/cell.rs
+++ b/tests/src/process/cell.rs
@@ -7,10 +7,10 @@
 use pimentochute_base::{ConfigVersion, KeyDigest, SliceIndex};
 use pimentochute_server::api::{EndpointView, StatusView, WorkerView};
 use pimentochute_state::{KeyConfig, PatchOperation, slice_of};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use super::caller::TeamCaller;
-use super::command::{CommandEnd, CommandLine};
+use super::command::CommandLine;
 use super::entry_host::EntryHost;
 use super::folder::TempFolder;
 use super::http::is_ok;
@@ -163,25 +163,13 @@
             "author": "desk-a",
             "operations": operations,
         });
-        let end = self.hand_in(&commands, &patch).await;
+        let end = commands.hand_in(&patch).await;
         assert_eq!(end.code, 0, "{}", end.remarks);
         let version = end.data["version"].as_u64().expect("version is shown");
         self.wait_for_version(version).await;
         secret
     }
 
-    /// Hands in a patch from a file, as operators do.
-    ///
-    /// # Panics
-    /// Panics if the file cannot be written.
-    pub async fn hand_in(&self, commands: &CommandLine, patch: &Value) -> CommandEnd {
-        let name = format!("{}.patch.json", patch["id"].as_str().unwrap_or_default());
-        let file = self.folder.path().join(name);
-        std::fs::write(&file, patch.to_string()).expect("patch is written");
-        let file = file.display().to_string();
-        commands.run(&["config", "patch", &file]).await
-    }
-
     /// Waits until every host that runs has a version of the configuration.
     pub async fn wait_for_version(&self, version: u64) {
         for index in 0..self.hosts.len() {
--- a/tests/src/process/command.rs
+++ b/tests/src/process/command.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Hands in a patch on the standard input.
+    pub async fn hand_in(&self, patch: &Value) -> CommandEnd {
+        let text = patch.to_string();
+        let arguments = ["config", "patch", "-"];
+        self.run_with(&arguments, text.as_bytes()).await
+    }
+
     /// Runs a command that has to succeed.
     ///
     /// # Panics
--- a/tests/tests/process_log.rs
+++ b/tests/tests/process_log.rs
@@ -4,11 +4,12 @@
 
 use futures::future::join_all;
 use pimentochute_base::{IdempotencyKey, JobId};
-use pimentochute_server::api::JobStatus;
+use pimentochute_server::api::{HistoryView, JobStatus, StatusView};
 use pimentochute_standins::FaultSet;
 use pimentochute_tests::process::{
-    CellShape, ProcessAudit, ProcessCell, RequestSpec, TeamCaller, wait_until,
+    CellShape, CommandLine, ProcessAudit, ProcessCell, RequestSpec, TeamCaller, wait_until,
 };
+use serde_json::{Value, json};
 
 /// The exit code of a command that was refused and ran nowhere.
 const NOT_RUN: i32 = 3;
@@ -33,6 +34,36 @@
     job_id("print", key)
 }
 
+/// Returns a patch against the version in force.
+async fn raise_limit(operator: &CommandLine) -> Value {
+    let status: StatusView = operator.expect(&["status"]).await;
+    json!({
+        "id": "raise-limit",
+        "base_version": status.config_version,
+        "author": "desk-a",
+        "operations": [{"op": "set_team", "team": "print",
+            "config": {"share": 1, "max_tasks": 41, "max_requests": 64}}],
+    })
+}
+
+/// Hands a patch in again and expects that it made one version in all.
+async fn check_patch(operator: &CommandLine, patch: &Value) {
+    let version = wait_until("the patch is accepted", async || {
+        let end = operator.hand_in(patch).await;
+        let known = [0, NOT_RUN, UNKNOWN].contains(&end.code);
+        assert!(known, "exit code {}: {}", end.code, end.remarks);
+        end.data["version"].as_u64()
+    })
+    .await;
+    assert_eq!(Some(version - 1), patch["base_version"].as_u64());
+    let history: Vec<HistoryView> = operator.expect(&["config", "history"]).await;
+    let id = patch["id"].as_str();
+    let seen = history
+        .iter()
+        .filter(|view| Some(view.patch.as_str()) == id);
+    assert_eq!(seen.count(), 1, "{history:?}");
+}
+
 /// Guards against an outage of the log that stops running work or requests,
 /// loses a job, or lets a refusal "not run" be false.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -110,11 +141,16 @@
         let caller = cell.caller("print", index % 2);
         caller.submit("batch", &key, 1, "run 300").await
     }));
+    let operator = cell.operator(1, 0);
+    let patch = raise_limit(&operator).await;
     let switch = async {
         tokio::time::sleep(Duration::from_secs(2)).await;
         cell.platform.set_faults(FaultSet::default()).await;
     };
-    let (during, ()) = tokio::join!(during, switch);
+    let (during, patched, ()) = tokio::join!(during, operator.hand_in(&patch), switch);
+    let told = [0, NOT_RUN, UNKNOWN].contains(&patched.code);
+    assert!(told, "exit code {}: {}", patched.code, patched.remarks);
+    check_patch(&operator, &patch).await;
     for (index, end) in during.iter().enumerate() {
         let told = [0, NOT_RUN, UNKNOWN].contains(&end.code);
         assert!(told, "exit code {}: {}", end.code, end.remarks);
