Split the worker session; time waits by the project's clock

Cause: session.rs had grown to 515 lines, and two modules read tokio's clock beside the project's one. Change: the choice of a manager and the health of a worker are modules of their own; record and patch waits are one timeout around one future; the scheduler's pause is in the project's milliseconds.

--- a/crates/pimentochute-server/src/control.rs
+++ b/crates/pimentochute-server/src/control.rs
@@ -8,6 +8,7 @@
 mod follower;
 mod freshness;
 mod health;
+mod manager_choice;
 mod monitor;
 mod placement;
 mod plan;
@@ -20,6 +21,7 @@
 mod slices;
 mod snapshots;
 mod views;
+mod worker_health;
 mod workers;
 mod writer;
 
--- a/crates/pimentochute-server/src/control/client.rs
+++ b/crates/pimentochute-server/src/control/client.rs
@@ -6,9 +6,10 @@
 use pimentochute_base::{MilliSpan, StreamName};
 use pimentochute_platform::{AppendError, LogService};
 use pimentochute_state::{
-    CellRecord, ConfigPatch, ConfigRecord, PatchAnswer, RecordOutcome, RecordTag,
+    CellRecord, ConfigPatch, ConfigRecord, PatchAnswer, RecordOutcome, RecordTag, StampedRecord,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use super::SubmitError;
 use super::cell::CellShared;
@@ -35,24 +36,33 @@
     /// [`SubmitError::NotRecorded`] only if the record surely was not
     /// appended, [`SubmitError::Unknown`] if it was not read back in time.
     pub(crate) async fn record(&self, record: CellRecord) -> Result<RecordOutcome, SubmitError> {
-        let deadline = Instant::now() + self.wait.as_duration();
-        let (record, mut outcome) = self.cell.stamp(record);
+        let (record, outcome) = self.cell.stamp(record);
         // A caller that goes away drops this future; nobody waits then.
         let _waiter = WaiterGuard {
             cell: &self.cell,
             tag: record.tag.clone(),
         };
-        let result = tokio::select! {
+        let recorded = self.append_and_read(record, outcome);
+        let in_time = timeout(self.wait.as_duration(), recorded).await;
+        in_time.unwrap_or(Err(SubmitError::Unknown))
+    }
+
+    /// Appends a record and waits for its outcome, which may be read before the
+    /// append is answered.
+    async fn append_and_read(
+        &self,
+        record: StampedRecord,
+        mut outcome: oneshot::Receiver<RecordOutcome>,
+    ) -> Result<RecordOutcome, SubmitError> {
+        tokio::select! {
             read = &mut outcome => return read.map_err(|_| SubmitError::Unknown),
-            appended = timeout_at(deadline, self.queue.append(vec![record])) => appended,
-        };
-        if let Ok(Err(AppendError::NotAppended { .. })) = result {
-            return Err(SubmitError::NotRecorded);
-        }
-        if let Ok(Ok(outcome)) = timeout_at(deadline, outcome).await {
-            return Ok(outcome);
+            appended = self.queue.append(vec![record]) => {
+                if let Err(AppendError::NotAppended { .. }) = appended {
+                    return Err(SubmitError::NotRecorded);
+                }
+            }
         }
-        Err(SubmitError::Unknown)
+        outcome.await.map_err(|_| SubmitError::Unknown)
     }
 }
 
@@ -97,25 +107,27 @@
     /// # Errors
     /// As [`RecordClient::record`].
     pub(crate) async fn patch(&self, patch: ConfigPatch) -> Result<PatchAnswer, SubmitError> {
-        let deadline = Instant::now() + self.wait.as_duration();
+        let in_time = timeout(self.wait.as_duration(), self.append_and_read(&patch)).await;
+        in_time.unwrap_or(Err(SubmitError::Unknown))
+    }
+
+    async fn append_and_read(&self, patch: &ConfigPatch) -> Result<PatchAnswer, SubmitError> {
         let mut changes = self.config.subscribe();
-        if let Some(answer) = self.answer(&patch) {
+        if let Some(answer) = self.answer(patch) {
             return Ok(answer);
         }
         let record = ConfigRecord::Patch(patch.clone());
         let payload = serde_json::to_vec(&record).map_err(|_| SubmitError::NotRecorded)?;
-        let append = self.log.append(&self.stream, Bytes::from(payload));
-        if let Ok(Err(AppendError::NotAppended { .. })) = timeout_at(deadline, append).await {
+        let appended = self.log.append(&self.stream, Bytes::from(payload)).await;
+        if let Err(AppendError::NotAppended { .. }) = appended {
             return Err(SubmitError::NotRecorded);
         }
         loop {
-            if let Some(answer) = self.answer(&patch) {
+            if let Some(answer) = self.answer(patch) {
                 return Ok(answer);
             }
-            match timeout_at(deadline, changes.changed()).await {
-                Ok(Ok(())) => {}
-                _ => return Err(SubmitError::Unknown),
-            }
+            // The state lives as long as this client.
+            let _ = changes.changed().await;
         }
     }
 
--- /dev/null
+++ b/crates/pimentochute-server/src/control/manager_choice.rs
@@ -0,0 +1,36 @@
+//! Chooses the host that manages a worker.
+
+use pimentochute_base::{HostName, WorkerName, rendezvous_choice};
+
+use super::workers::WorkerContext;
+
+impl WorkerContext {
+    /// Tells whether this host is to manage a worker: rendezvous hashing over
+    /// the hosts that can reach it, or over all if none can.
+    pub(crate) fn is_preferred_manager(&self, worker: &WorkerName, reaches: bool) -> bool {
+        let staying = self.table.staying_hosts(self.clock.now());
+        let own = &self.cell.owner().host;
+        let reaching = |host: &&HostName| {
+            if *host == own {
+                reaches
+            } else {
+                !self.peer_is_cut_off(host, worker)
+            }
+        };
+        let mut candidates: Vec<&str> = staying
+            .iter()
+            .filter(reaching)
+            .map(HostName::as_str)
+            .collect();
+        if candidates.is_empty() {
+            candidates = staying.iter().map(HostName::as_str).collect();
+        }
+        rendezvous_choice(worker.as_str(), &candidates) == Some(own.as_str())
+    }
+
+    /// Tells whether a peer reports that it cannot reach the worker.
+    fn peer_is_cut_off(&self, host: &HostName, worker: &WorkerName) -> bool {
+        let status = self.table.status(host);
+        status.is_some_and(|status| status.beat.unreachable_workers.contains(worker))
+    }
+}
--- a/crates/pimentochute-server/src/control/scheduler.rs
+++ b/crates/pimentochute-server/src/control/scheduler.rs
@@ -13,7 +13,6 @@
 use pimentochute_schedule::{JobRefusal, PlacementDecision, RefusalReason};
 use pimentochute_state::{CellRecord, RecordOutcome, RefuseReason, TaskPlacement, allotment};
 use tokio::sync::{Mutex, mpsc, watch};
-use tokio::time::Instant;
 
 use super::SubmitError;
 use super::cell::{CellChange, CellShared};
@@ -26,7 +25,7 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
 /// The pause after a record was not taken by the log.
-const LOG_PAUSE: Duration = Duration::from_millis(500);
+const LOG_PAUSE: MilliSpan = MilliSpan::new(500);
 
 /// The most tasks of one round.
 const MAX_ROUND_TASKS: usize = 256;
@@ -93,20 +92,20 @@
         mirror.rebuild(&self.cell, &self.config.current());
         let mut pending = FuturesUnordered::new();
         let mut watch = RefusalWatch::new(self.refusal_patience);
-        let mut resume_at = Instant::now();
+        let mut resume_at = self.clock.now();
         loop {
             if !self
                 .wait(&mut changes, &mut versions, &mut mirror, &mut pending)
                 .await
             {
-                resume_at = Instant::now() + LOG_PAUSE;
+                resume_at = self.clock.now() + LOG_PAUSE;
             }
             mirror.refresh_probes(&self.cell, self.clock.unix_now());
-            if Instant::now() < resume_at || pending.len() >= MAX_PENDING {
+            if self.clock.now() < resume_at || pending.len() >= MAX_PENDING {
                 continue;
             }
             if !self.write_allotments().await {
-                resume_at = Instant::now() + LOG_PAUSE;
+                resume_at = self.clock.now() + LOG_PAUSE;
                 continue;
             }
             for decision in mirror.decide(self.clock.unix_now(), MAX_ROUND_TASKS) {
@@ -122,7 +121,7 @@
                 Vec::new()
             };
             if !self.write_refusals(refusals).await {
-                resume_at = Instant::now() + LOG_PAUSE;
+                resume_at = self.clock.now() + LOG_PAUSE;
             }
         }
     }
--- a/crates/pimentochute-server/src/control/session.rs
+++ b/crates/pimentochute-server/src/control/session.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use pimentochute_base::{
-    EpochNumber, HostName, MilliSpan, MilliTime, WorkerIncarnation, WorkerName, rendezvous_choice,
+    EpochNumber, HostName, MilliSpan, MilliTime, WorkerIncarnation, WorkerName,
 };
 use pimentochute_platform::{
     ControlGrant, ControlRequest, WorkerError, WorkerReport, WorkerTarget,
 };
-use pimentochute_state::{CellRecord, RecordOutcome, TaskPhase, WorkerHealth};
+use pimentochute_state::{CellRecord, RecordOutcome, TaskPhase};
 use tokio::sync::watch;
 
 use super::plan::AbandonedTasks;
@@ -122,7 +122,10 @@
     /// Does what is due and returns the pause until the next step.
     async fn step(&mut self) -> MilliSpan {
         let listed = self.listed();
-        let wanted = !self.context.is_releasing() && self.is_preferred();
+        let wanted = !self.context.is_releasing()
+            && self
+                .context
+                .is_preferred_manager(&self.worker, self.seems_reachable());
         match (&self.control, listed) {
             (ControlState::Held(_), _) if !wanted => self.release(listed).await,
             (ControlState::Held(control), Some(listed)) => {
@@ -246,7 +249,9 @@
             Ok(report) => {
                 self.note_reachable();
                 self.record_worker(control).await;
-                self.set_health(listed).await;
+                self.context
+                    .record_health(&self.worker, listed.leaving)
+                    .await;
                 self.after_report(&report, control)
             }
             Err(ReconcileError::Fenced) => {
@@ -368,61 +373,11 @@
         ACQUIRE_PAUSE
     }
 
-    /// Records quarantine, release from quarantine and leaving.
-    async fn set_health(&self, listed: ListedWorker) {
-        let wanted = {
-            let fold = self.context.cell.read();
-            let Some(worker) = fold.worker(&self.worker) else {
-                return;
-            };
-            let limit = self.context.settings.quarantine_failures;
-            let failures = u32::try_from(worker.failed_jobs.len()).unwrap_or(u32::MAX);
-            let wanted = wanted_health(listed.leaving, worker.health, failures, limit);
-            if wanted == worker.health {
-                return;
-            }
-            wanted
-        };
-        log::warn!("workers: Worker {} becomes {wanted}.", self.worker);
-        let worker = self.worker.clone();
-        let record = CellRecord::WorkerHealthSet {
-            worker,
-            health: wanted,
-        };
-        if let Err(error) = self.context.client.record(record).await {
-            log::debug!(
-                "workers: The health of {} is not recorded. {error}",
-                self.worker
-            );
-        }
-    }
-
-    /// Tells whether this host is to manage the worker: rendezvous hashing
-    /// over the hosts that can reach it.
-    fn is_preferred(&self) -> bool {
+    /// Tells whether no call to the worker failed lately.
+    fn seems_reachable(&self) -> bool {
         let now = self.context.clock.now();
-        let staying = self.context.table.staying_hosts(now);
-        let reaching: Vec<&HostName> = staying
-            .iter()
-            .filter(|host| !self.is_cut_off(host, now))
-            .collect();
-        let candidates: Vec<&str> = if reaching.is_empty() {
-            staying.iter().map(HostName::as_str).collect()
-        } else {
-            reaching.into_iter().map(HostName::as_str).collect()
-        };
-        rendezvous_choice(self.worker.as_str(), &candidates) == Some(self.own_host().as_str())
-    }
-
-    /// Tells whether a host reports that it cannot reach the worker.
-    fn is_cut_off(&self, host: &HostName, now: MilliTime) -> bool {
-        if *host == self.own_host() {
-            return self
-                .unreachable_since
-                .is_some_and(|since| now.since(since) < RETRY_UNREACHABLE);
-        }
-        let status = self.context.table.status(host);
-        status.is_some_and(|status| status.beat.unreachable_workers.contains(&self.worker))
+        let failed = self.unreachable_since;
+        failed.is_none_or(|since| now.since(since) >= RETRY_UNREACHABLE)
     }
 
     fn recorded_manager(&self) -> Option<(HostName, WorkerIncarnation, EpochNumber)> {
@@ -503,13 +458,3 @@
         lease + drift + self.settings.margin_ms
     }
 }
-
-/// Returns the health that a worker should have.
-fn wanted_health(leaving: bool, health: WorkerHealth, failures: u32, limit: u32) -> WorkerHealth {
-    match health {
-        _ if leaving => WorkerHealth::Leaving,
-        _ if failures >= limit => WorkerHealth::Quarantined,
-        WorkerHealth::Quarantined if failures > 0 => WorkerHealth::Quarantined,
-        _ => WorkerHealth::Healthy,
-    }
-}
