Append directly when the writer of the data centre gives no answer

Cause: a host sends its records to the owner of slice 0. When that owner is paused, connections open and stay silent, so the call ends with an unknown outcome, which was passed on instead of appending. The claim of slice 0 took the same way, so nothing could be recorded in the data centre until the owner went on.

Change: a batch whose sending has an unknown outcome is appended by the host itself. A record that is appended twice has no effect the second time. If the host's own append did not take effect, the outcome stays unknown, since the writer may still append the batch. The test pauses the owner of all slices and the manager of a worker, since one host need not be both.

Conclusion: a paused writer is replaced like a dead one, after the takeover time and the time limit of one sending.

--- a/crates/pimentochute-server/src/control/writer.rs
+++ b/crates/pimentochute-server/src/control/writer.rs
@@ -187,44 +187,44 @@
         pause.as_duration()
     }
 
-    /// Sends a batch to the writer, or appends it if the writer is not
-    /// reached. Tells whether it was sent.
+    /// Sends a batch to the writer, or appends it if the writer does not take
+    /// it. Tells whether the writer took it.
+    ///
+    /// A writer without an answer may be paused, and its slice can be claimed
+    /// only by a record that does not depend on it. If the batch is appended
+    /// twice, the second one has no effect.
     async fn forward(&self, writer: &HostName, orders: Vec<WriteOrder>) -> bool {
-        match self.link.append(writer, records_of(&orders)).await {
-            Ok(()) => finish(orders, || Ok(())),
-            Err(PeerError::OutcomeUnknown { detail, .. }) => {
-                finish(orders, || Err(unknown(&detail)));
+        let error = match self.link.append(writer, records_of(&orders)).await {
+            Ok(()) => {
+                finish(orders, || Ok(()));
+                return true;
             }
-            Err(error) => {
-                log::debug!("writer: Records are appended here. {error}");
-                self.append(orders).await;
-                return false;
+            Err(error) => error,
+        };
+        log::debug!("writer: Records are appended here. {error}");
+        let may_be_appended = matches!(error, PeerError::OutcomeUnknown { .. });
+        match self.append_batch(&orders).await {
+            Err(AppendError::NotAppended { detail }) if may_be_appended => {
+                finish(orders, || Err(unknown(&detail)));
             }
+            result => finish_alike(orders, &result),
         }
-        true
+        false
     }
 
     async fn append(&self, orders: Vec<WriteOrder>) {
+        let result = self.append_batch(&orders).await;
+        finish_alike(orders, &result);
+    }
+
+    async fn append_batch(&self, orders: &[WriteOrder]) -> Result<(), AppendError> {
         let batch = RecordBatch {
-            records: records_of(&orders),
-        };
-        let payload = match serde_json::to_vec(&batch) {
-            Ok(payload) => Bytes::from(payload),
-            Err(error) => {
-                let detail = error.to_string();
-                finish(orders, || Err(not_appended(&detail)));
-                return;
-            }
+            records: records_of(orders),
         };
-        match self.log.append(&self.stream, payload).await {
-            Ok(_) => finish(orders, || Ok(())),
-            Err(AppendError::NotAppended { detail }) => {
-                finish(orders, || Err(not_appended(&detail)));
-            }
-            Err(AppendError::OutcomeUnknown { detail }) => {
-                finish(orders, || Err(unknown(&detail)));
-            }
-        }
+        let payload = serde_json::to_vec(&batch);
+        let payload = payload.map_err(|error| not_appended(&error.to_string()))?;
+        let appended = self.log.append(&self.stream, Bytes::from(payload)).await;
+        appended.map(drop)
     }
 }
 
@@ -266,6 +266,14 @@
     }
 }
 
+fn finish_alike(orders: Vec<WriteOrder>, result: &Result<(), AppendError>) {
+    finish(orders, || match result {
+        Ok(()) => Ok(()),
+        Err(AppendError::NotAppended { detail }) => Err(not_appended(detail)),
+        Err(AppendError::OutcomeUnknown { detail }) => Err(unknown(detail)),
+    });
+}
+
 fn not_appended(detail: &str) -> AppendError {
     AppendError::NotAppended {
         detail: detail.to_owned(),
--- a/tests/tests/process_hosts.rs
+++ b/tests/tests/process_hosts.rs
@@ -1,5 +1,6 @@
 //! Entry hosts that die, pause and stop while work runs.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -63,56 +64,50 @@
     assert!(killed.contains(&false), "the kill came after the work");
 }
 
-/// Guards against a host that goes on with stale ownership after a pause: it
-/// must neither place, start, stop nor end anything under its old epochs.
+/// Guards against hosts that go on with stale ownership after a pause: they
+/// must neither place, start, stop nor end anything under their old epochs.
+/// Pauses the owner of the team's slice and the manager of a worker, which may
+/// be the same host.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn paused_host_does_not_act_on_leases_that_lapsed() {
+async fn paused_hosts_do_not_act_on_leases_that_lapsed() {
     let mut cell = ProcessCell::start(CellShape::new(&[3], 3, 1)).await;
-    let (team, owner) = team_of_manager(&cell).await;
-    cell.add_team(&team, 40).await;
-    let caller = cell.caller(&team, (owner + 1) % 3);
+    cell.add_team("print", 40).await;
+    let owner = cell.owner_of("print", 0).await;
+    let worker = cell.workers[0].name().to_owned();
+    let manager = cell.manager_of(&worker).expect("worker is managed");
+    let paused = BTreeSet::from([owner, manager]);
+    let witness = (0..3).find(|host| !paused.contains(host));
+    let caller = cell.caller("print", witness.expect("a host goes on"));
     // Too many for two workers, so every worker runs some.
     let long = caller
         .submit_recorded("batch", "long", LONG_TASKS, "run 11000")
         .await;
     caller.wait_for(long, JobStatus::Running).await;
-    cell.hosts[owner].signal(Signal::SIGSTOP);
+    signal_all(&mut cell, &paused, Signal::SIGSTOP);
     tokio::time::sleep(PAUSE / 2).await;
     // The job is placed by the host that took the slice over.
     let late = caller.submit_recorded("batch", "late", 2, "run 300").await;
     tokio::time::sleep(PAUSE / 2).await;
-    cell.hosts[owner].signal(Signal::SIGCONT);
-    let resumed = cell.caller(&team, owner);
-    for job in [long, late] {
-        resumed.wait_for(job, JobStatus::Succeeded).await;
-        caller.wait_for(job, JobStatus::Succeeded).await;
+    signal_all(&mut cell, &paused, Signal::SIGCONT);
+    for host in 0..3 {
+        let caller = cell.caller("print", host);
+        caller.wait_for(late, JobStatus::Succeeded).await;
+        caller.wait_for(long, JobStatus::Succeeded).await;
     }
     let audit = ProcessAudit::of(&cell).await;
     assert_eq!(audit.violations(&[], &[]), []);
     for (job, tasks) in [(long, LONG_TASKS), (late, 2)] {
         assert!((0..tasks).all(|task| audit.tasks.starts(job, task) == 1));
     }
+    let lines = cell.hosts[manager].log(cell.folder.path());
     let refused = "the epoch is no longer in force at the worker";
-    let lines = cell.hosts[owner].log(cell.folder.path());
-    assert!(
-        lines.contains(refused),
-        "no late command was refused: {lines}"
-    );
+    assert!(lines.contains(refused), "no late command: {lines}");
 }
 
-/// Returns a host that manages a worker and owns a slice, and a team of such a
-/// slice.
-async fn team_of_manager(cell: &ProcessCell) -> (String, usize) {
-    for worker in &cell.workers {
-        let manager = cell.manager_of(worker.name()).expect("worker is managed");
-        for number in 0..100 {
-            let team = format!("team-{number}");
-            if cell.owner_of(&team, 0).await == manager {
-                return (team, manager);
-            }
-        }
+fn signal_all(cell: &mut ProcessCell, hosts: &BTreeSet<usize>, signal: Signal) {
+    for host in hosts {
+        cell.hosts[*host].signal(signal);
     }
-    panic!("no manager of a worker owns a slice");
 }
 
 /// Guards against a planned stop that cuts requests short or loses jobs.
