--- a/crates/pimentochute-server/src/control/writer.rs
+++ b/crates/pimentochute-server/src/control/writer.rs
@@ -188,52 +188,43 @@
     }
 
     /// Sends a batch to the writer, or appends it if the writer does not take
-    /// it in time. Tells whether the writer took it.
+    /// it. Tells whether the writer took it.
     ///
-    /// The writer may still append a batch that it did not answer for. That is
-    /// harmless: a record that is read a second time has no effect.
+    /// A writer without an answer may be paused, and its slice can be claimed
+    /// only by a record that does not depend on it. If the batch is appended
+    /// twice, the second one has no effect.
     async fn forward(&self, writer: &HostName, orders: Vec<WriteOrder>) -> bool {
-        match self.link.append(writer, records_of(&orders)).await {
+        let error = match self.link.append(writer, records_of(&orders)).await {
             Ok(()) => {
                 finish(orders, || Ok(()));
-                true
+                return true;
             }
-            Err(error) => {
-                log::debug!("writer: Records are appended here. {error}");
-                let unanswered = matches!(error, PeerError::OutcomeUnknown { .. });
-                self.append_after(orders, unanswered).await;
-                false
+            Err(error) => error,
+        };
+        log::debug!("writer: Records are appended here. {error}");
+        let may_be_appended = matches!(error, PeerError::OutcomeUnknown { .. });
+        match self.append_batch(&orders).await {
+            Err(AppendError::NotAppended { detail }) if may_be_appended => {
+                finish(orders, || Err(unknown(&detail)));
             }
+            result => finish_alike(orders, &result),
         }
+        false
     }
 
     async fn append(&self, orders: Vec<WriteOrder>) {
-        self.append_after(orders, false).await;
+        let result = self.append_batch(&orders).await;
+        finish_alike(orders, &result);
     }
 
-    /// Appends a batch; if another host may have appended it before, it is
-    /// never reported as not appended.
-    async fn append_after(&self, orders: Vec<WriteOrder>, unanswered: bool) {
+    async fn append_batch(&self, orders: &[WriteOrder]) -> Result<(), AppendError> {
         let batch = RecordBatch {
-            records: records_of(&orders),
+            records: records_of(orders),
         };
-        let payload = match serde_json::to_vec(&batch) {
-            Ok(payload) => Bytes::from(payload),
-            Err(error) => {
-                let detail = error.to_string();
-                finish(orders, || Err(failed(&detail, unanswered)));
-                return;
-            }
-        };
-        match self.log.append(&self.stream, payload).await {
-            Ok(_) => finish(orders, || Ok(())),
-            Err(AppendError::NotAppended { detail }) => {
-                finish(orders, || Err(failed(&detail, unanswered)));
-            }
-            Err(AppendError::OutcomeUnknown { detail }) => {
-                finish(orders, || Err(unknown(&detail)));
-            }
-        }
+        let payload = serde_json::to_vec(&batch);
+        let payload = payload.map_err(|error| not_appended(&error.to_string()))?;
+        let appended = self.log.append(&self.stream, Bytes::from(payload)).await;
+        appended.map(drop)
     }
 }
 
@@ -275,13 +266,12 @@
     }
 }
 
-/// Returns the error of records that this host did not append.
-fn failed(detail: &str, unanswered: bool) -> AppendError {
-    if unanswered {
-        unknown(detail)
-    } else {
-        not_appended(detail)
-    }
+fn finish_alike(orders: Vec<WriteOrder>, result: &Result<(), AppendError>) {
+    finish(orders, || match result {
+        Ok(()) => Ok(()),
+        Err(AppendError::NotAppended { detail }) => Err(not_appended(detail)),
+        Err(AppendError::OutcomeUnknown { detail }) => Err(unknown(detail)),
+    });
 }
 
 fn not_appended(detail: &str) -> AppendError {
