Test the watch over refusals by itself

Change: RefusalWatch is tested alone with given times. After: the new test pins the rule. Conclusion: the product is unchanged.

--- a/crates/pimentochute-server/src/control.rs
+++ b/crates/pimentochute-server/src/control.rs
@@ -37,6 +37,7 @@
 pub(crate) use endpoints::RouterFeed;
 pub use freshness::{ConfigFreshness, FreshnessFacts};
 pub use plan::{AbandonedTasks, PlacedTask, RoundPlan};
+pub use refusals::RefusalWatch;
 pub use runtime::PlatformClients;
 pub(crate) use runtime::{ControlRuntime, endless};
 pub use slices::{SliceAction, SliceFacts};
--- a/crates/pimentochute-server/src/control/refusals.rs
+++ b/crates/pimentochute-server/src/control/refusals.rs
@@ -14,7 +14,7 @@
 /// allotments may not be recorded yet. So a job is refused only after it could
 /// not run for `patience` at every look.
 #[derive(Debug)]
-pub(crate) struct RefusalWatch {
+pub struct RefusalWatch {
     patience: MilliSpan,
     next_look: MilliTime,
     since: BTreeMap<JobId, MilliTime>,
@@ -22,7 +22,8 @@
 
 impl RefusalWatch {
     /// Creates a watch without jobs.
-    pub(crate) fn new(patience: MilliSpan) -> Self {
+    #[must_use]
+    pub fn new(patience: MilliSpan) -> Self {
         Self {
             patience,
             next_look: MilliTime::ZERO,
@@ -31,12 +32,13 @@
     }
 
     /// Tells whether it is time to look at the jobs.
-    pub(crate) fn is_due(&self, now: MilliTime) -> bool {
+    #[must_use]
+    pub fn is_due(&self, now: MilliTime) -> bool {
         now >= self.next_look
     }
 
     /// Takes in the jobs that cannot run now and returns those to refuse.
-    pub(crate) fn due(&mut self, now: MilliTime, refusals: Vec<JobRefusal>) -> Vec<JobRefusal> {
+    pub fn due(&mut self, now: MilliTime, refusals: Vec<JobRefusal>) -> Vec<JobRefusal> {
         self.next_look = now + LOOK_INTERVAL;
         let earlier = std::mem::take(&mut self.since);
         for refusal in &refusals {
--- a/crates/pimentochute-server/src/lib.rs
+++ b/crates/pimentochute-server/src/lib.rs
@@ -25,7 +25,7 @@
 pub use assembly::{DaemonContext, assemble, assemble_with};
 pub use control::{
     AbandonedTasks, ConfigFreshness, ControlPlane, FreshnessFacts, PlacedTask, PlatformClients,
-    RoundPlan, SliceAction, SliceFacts, SubmitError,
+    RefusalWatch, RoundPlan, SliceAction, SliceFacts, SubmitError,
 };
 pub use daemon::{
     Daemon, DaemonEnd, DaemonError, DaemonParts, StopHooks, StopSignal, run, run_with,
--- a/tests/tests/control_plan.rs
+++ b/tests/tests/control_plan.rs
@@ -4,11 +4,14 @@
 use std::collections::BTreeMap;
 
 use pimentochute_base::{
-    AttemptNumber, AttemptRef, EpochNumber, HostIncarnation, HostName, JobId, ResourceAmount,
-    SliceIndex, TaskIndex, WorkerIncarnation, rendezvous_choice,
+    AttemptNumber, AttemptRef, EpochNumber, HostIncarnation, HostName, JobId, MilliSpan, MilliTime,
+    ResourceAmount, SliceIndex, TaskIndex, WorkerIncarnation, rendezvous_choice,
 };
 use pimentochute_platform::{TaskReport, TaskStatus, WorkerReport};
-use pimentochute_server::{AbandonedTasks, PlacedTask, RoundPlan, SliceAction, SliceFacts};
+use pimentochute_schedule::{JobRefusal, RefusalReason};
+use pimentochute_server::{
+    AbandonedTasks, PlacedTask, RefusalWatch, RoundPlan, SliceAction, SliceFacts,
+};
 use pimentochute_state::{EndReason, SliceOwner};
 use test_case::test_case;
 
@@ -136,3 +139,26 @@
     let release = SliceAction::Release(EpochNumber::new(4));
     assert_eq!(decide(other, Some(other), true, &hosts), release);
 }
+
+/// Guards against a final refusal that rests on a passing state, such as an
+/// allotment or a worker that is not recorded yet.
+#[test]
+fn job_is_refused_only_after_it_could_not_run_all_the_time() {
+    let refusal = JobRefusal {
+        job: attempt().job,
+        team: "print".parse().expect("valid name"),
+        reason: RefusalReason::OverAllotment {
+            tasks: 4,
+            allotment: 0,
+        },
+    };
+    let at = MilliTime::new;
+    let mut watch = RefusalWatch::new(MilliSpan::new(1_000));
+    let refusals = || vec![refusal.clone()];
+    assert_eq!(watch.due(at(0), refusals()), []);
+    assert!(!watch.is_due(at(499)) && watch.is_due(at(500)));
+    assert_eq!(watch.due(at(500), Vec::new()), [], "the job could run");
+    assert_eq!(watch.due(at(1_000), refusals()), []);
+    assert_eq!(watch.due(at(1_999), refusals()), []);
+    assert_eq!(watch.due(at(2_000), refusals()), refusals());
+}
