Hold back only start orders in the test of unanswered starts

Change: the fake fleet can hold back start orders alone. Conclusion: the test now sends the start that it is about.

--- a/tests/src/fake_worker.rs
+++ b/tests/src/fake_worker.rs
@@ -37,6 +37,7 @@
     unreachable: bool,
     loses_answers: bool,
     holds_commands: bool,
+    holds_starts: bool,
     held: Vec<HeldCommand>,
 }
 
@@ -82,6 +83,7 @@
             unreachable: false,
             loses_answers: false,
             holds_commands: false,
+            holds_starts: false,
             held: Vec::new(),
         };
         workers.insert(name.clone(), worker);
@@ -117,6 +119,12 @@
         self.with(name, |worker| worker.holds_commands = holds);
     }
 
+    /// Holds start orders back, as [`FakeWorkerFleet::set_holds_commands`] does;
+    /// other commands are carried out.
+    pub fn set_holds_starts(&self, name: &WorkerName, holds: bool) {
+        self.with(name, |worker| worker.holds_starts = holds);
+    }
+
     /// Lets the commands that were held back arrive, in their order.
     pub fn deliver_held(&self, name: &WorkerName) {
         let now = self.clock.now();
@@ -163,6 +171,18 @@
         target: &WorkerTarget,
         command: impl FnOnce(&mut WorkerMachine, MilliTime) -> Result<T, WorkerError> + Send + 'static,
     ) -> BoxFuture<'static, Result<T, WorkerError>>
+    where
+        T: Send + 'static,
+    {
+        self.run_or_hold(target, false, command)
+    }
+
+    fn run_or_hold<T>(
+        &self,
+        target: &WorkerTarget,
+        holds: bool,
+        command: impl FnOnce(&mut WorkerMachine, MilliTime) -> Result<T, WorkerError> + Send + 'static,
+    ) -> BoxFuture<'static, Result<T, WorkerError>>
     where
         T: Send + 'static,
     {
@@ -171,7 +191,7 @@
         Box::pin(async move {
             let cut = fleet.cut.lock().contains(&name);
             let now = fleet.clock.now();
-            let answer = fleet.with(&name, |worker| worker.run(cut, now, command));
+            let answer = fleet.with(&name, |worker| worker.run(cut, holds, now, command));
             answer.unwrap_or_else(|| Err(unreachable("the fleet has no such worker")))
         })
     }
@@ -181,13 +201,14 @@
     fn run<T>(
         &mut self,
         cut: bool,
+        holds: bool,
         now: MilliTime,
         command: impl FnOnce(&mut WorkerMachine, MilliTime) -> Result<T, WorkerError> + Send + 'static,
     ) -> Result<T, WorkerError> {
         if cut || self.unreachable {
             return Err(unreachable("the fake worker is cut off"));
         }
-        if self.holds_commands {
+        if holds || self.holds_commands {
             self.held.push(Box::new(move |machine, now| {
                 let _ = command(machine, now);
             }));
@@ -229,7 +250,8 @@
         epoch: EpochNumber,
         order: StartOrder,
     ) -> BoxFuture<'a, Result<(), WorkerError>> {
-        self.run(worker, move |machine, now| {
+        let holds = self.with(&worker.name, |worker| worker.holds_starts);
+        self.run_or_hold(worker, holds.unwrap_or(false), move |machine, now| {
             machine.start(epoch, &order, now)
         })
     }
--- a/tests/tests/cell_faults.rs
+++ b/tests/tests/cell_faults.rs
@@ -524,7 +524,7 @@
         .await;
     host.wait_for(warm.id, JobStatus::Succeeded).await;
     for worker in &small.workers {
-        fleet.set_holds_commands(worker, true);
+        fleet.set_holds_starts(worker, true);
     }
     let view = host
         .submit(job_spec("print", "k", WorkKind::Batch, 2, "run 2500"))
@@ -539,7 +539,7 @@
     .await;
     pause(50).await;
     for worker in &small.workers {
-        fleet.set_holds_commands(worker, false);
+        fleet.set_holds_starts(worker, false);
     }
     // A task that was refused waits 1 s before it is placed again.
     pause(1_300).await;
