Say nothing about jobs before they were read

Cause: a host that had just started, or started while the log was down, answered 'not found' for recorded jobs and 'not run' for a repeated submission whose job it did not know yet. Change: until the records were read to their end once, job pages refuse with log_unavailable and no statement about the job. Taking keyed work is no longer logged as a warning. Before: host_that_has_not_read_the_jobs_claims_nothing_about_them could not hold, the pages had no such state. After: it passes. Conclusion: refusals stay true on new hosts.

--- a/crates/pimentochute-server/src/control.rs
+++ b/crates/pimentochute-server/src/control.rs
@@ -77,6 +77,10 @@
     /// Fails if the outcome is not known in time.
     fn cancel(&self, job: JobId) -> BoxFuture<'_, Result<Option<JobView>, SubmitError>>;
 
+    /// Tells whether the records of the data centre were read to their end at
+    /// least once; before that a job may exist that is not known here.
+    fn knows_jobs(&self) -> bool;
+
     /// Returns a job of the data centre.
     fn job(&self, job: JobId) -> Option<JobView>;
 
--- a/crates/pimentochute-server/src/control/monitor.rs
+++ b/crates/pimentochute-server/src/control/monitor.rs
@@ -62,10 +62,11 @@
             }
             if self.takes_keyed_work() != taking {
                 taking = !taking;
-                log::warn!(
-                    "config: Keyed work is {}.",
-                    if taking { "taken" } else { "refused" }
-                );
+                if taking {
+                    log::info!("config: Keyed work is taken.");
+                } else {
+                    log::warn!("config: Keyed work is refused, no newer version can be ruled out.");
+                }
             }
             tokio::time::sleep(TICK).await;
         }
--- a/crates/pimentochute-server/src/control/plane.rs
+++ b/crates/pimentochute-server/src/control/plane.rs
@@ -76,6 +76,10 @@
         self.cancel_job(job).boxed()
     }
 
+    fn knows_jobs(&self) -> bool {
+        self.cell_health.is_caught_up()
+    }
+
     fn job(&self, job: JobId) -> Option<JobView> {
         self.cell.read().job(job).map(JobView::from)
     }
--- a/crates/pimentochute-server/src/public/job_pages.rs
+++ b/crates/pimentochute-server/src/public/job_pages.rs
@@ -52,8 +52,8 @@
         }
     }
 
-    /// Tells whether an earlier call with the same idempotency key recorded
-    /// its job. A refusal of the repeated call must not state "not run" then.
+    /// Tells whether an earlier call with the same idempotency key recorded, or
+    /// may have recorded, its job. A refusal of the repeated call must not state "not run" then.
     /// Callers without a valid key learn nothing about the jobs of a team, and
     /// a conflict speaks of a different job.
     fn repeats_known_job(&self, submission: &JobSubmission, code: RefusalCode) -> bool {
@@ -63,6 +63,10 @@
         ) {
             return false;
         }
+        if !self.parts.control.knows_jobs() {
+            // The job may be recorded without this host knowing it.
+            return true;
+        }
         let config = self.config();
         let teams = match &submission.team {
             Some(team) => vec![team],
@@ -136,6 +140,7 @@
                 return Err(Refusal::new(RefusalCode::Forbidden, error, hint));
             }
         };
+        self.check_jobs_known()?;
         let jobs = self.parts.control.jobs(team.as_ref());
         Ok(json_answer(StatusCode::OK, &jobs))
     }
@@ -174,11 +179,25 @@
         let id: JobId = text
             .parse()
             .map_err(|_| Refusal::invalid("the job id is wrong", "give 32 hexadecimal digits"))?;
+        self.check_jobs_known()?;
         let job = self.parts.control.job(id);
         let visible = job.filter(|job| reader.is_none_or(|team| team == job.team));
         visible.ok_or_else(|| unknown_job(id))
     }
 
+    /// Refuses to speak of jobs before this host has read them: "not found"
+    /// would not be true of a job that is recorded.
+    fn check_jobs_known(&self) -> Result<(), Refusal> {
+        if self.parts.control.knows_jobs() {
+            return Ok(());
+        }
+        let error = "this host has not read the jobs yet";
+        let hint = "try again, or ask another host of the data centre";
+        let refusal = Refusal::new(RefusalCode::LogUnavailable, error, hint);
+        let retry_after = self.settings.http.retry_after_ms;
+        Err(refusal.with_known_work().with_retry_after(retry_after))
+    }
+
     /// Returns the team whose jobs the caller may see; none for all of them.
     fn job_reader(&self, request: &Request<Body>) -> Result<Option<TeamName>, Refusal> {
         let config = self.config();
--- a/tests/src/fake_worker.rs
+++ b/tests/src/fake_worker.rs
@@ -32,6 +32,7 @@
     cut: Arc<SharedState<HashSet<WorkerName>>>,
 }
 
+#[allow(clippy::struct_excessive_bools, reason = "independent switches")]
 struct FakeWorker {
     machine: WorkerMachine,
     unreachable: bool,
--- a/tests/tests/server_refusals.rs
+++ b/tests/tests/server_refusals.rs
@@ -2,6 +2,7 @@
 
 mod server_support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Method, StatusCode};
@@ -151,3 +152,27 @@
     let refusal = daemon.get(&unknown, Some(PRINT_KEY)).await.refusal();
     assert_eq!(refusal.code, RefusalCode::NotFound);
 }
+
+/// Guards against "not found" and "not run" from a host that has started and
+/// has not read the jobs yet.
+#[tokio::test]
+async fn host_that_has_not_read_the_jobs_claims_nothing_about_them() {
+    let daemon = TestDaemon::start(json!({})).await;
+    daemon.control.knows_jobs.store(false, Ordering::SeqCst);
+    daemon.control.fail_with(Some(SubmitError::NotRecorded));
+    let path = format!("/v1/jobs/{}", "0".repeat(32));
+    let refusals = [
+        daemon.get(&path, Some(PRINT_KEY)).await.refusal(),
+        daemon.get("/v1/jobs", Some(PRINT_KEY)).await.refusal(),
+        daemon
+            .post("/v1/jobs", Some(PRINT_KEY), &job("a"))
+            .await
+            .refusal(),
+    ];
+    for refusal in refusals {
+        assert_eq!(
+            (refusal.code, refusal.not_run),
+            (RefusalCode::LogUnavailable, false)
+        );
+    }
+}
--- a/tests/tests/server_support/fakes.rs
+++ b/tests/tests/server_support/fakes.rs
@@ -84,6 +84,7 @@
 pub struct FakeControl {
     pub config: Mutex<Arc<CellConfig>>,
     pub keyed: AtomicBool,
+    pub knows_jobs: AtomicBool,
     pub failure: Mutex<Option<SubmitError>>,
     pub jobs: Mutex<BTreeMap<JobId, (JobSpec, JobView)>>,
     pub appended: Mutex<Vec<StampedRecord>>,
@@ -96,6 +97,7 @@
         Self {
             config: Mutex::new(Arc::new(config())),
             keyed: AtomicBool::new(true),
+            knows_jobs: AtomicBool::new(true),
             failure: Mutex::default(),
             jobs: Mutex::default(),
             appended: Mutex::default(),
@@ -180,6 +182,10 @@
         self.history.lock().expect("lock").clone()
     }
 
+    fn knows_jobs(&self) -> bool {
+        self.knows_jobs.load(Ordering::SeqCst)
+    }
+
     fn takes_keyed_work(&self) -> bool {
         self.keyed.load(Ordering::SeqCst)
     }
