Give every temporary folder of the process tests a new name

Cause: folders were named by the process identifier, which comes again. A folder that was kept after a failure would have been used once more, and its old log lines read as those of the new run.

Change: the name holds the time as well, and a folder that exists already is an error.

Conclusion: found by reading, no false verdict was seen.

--- a/tests/src/process/folder.rs
+++ b/tests/src/process/folder.rs
@@ -4,6 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use pimentochute_base::MilliClock;
+
 /// The first port that is handed out. The range ends below 32768, where the
 /// kernel takes the ports of outgoing connections from, so that no connection
 /// takes a port between its choice and its use.
@@ -31,9 +33,11 @@
     #[must_use]
     pub fn new() -> Self {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let name = format!("pimentochute-{}-{number}", std::process::id());
+        // Process identifiers come again, and a folder may have been kept.
+        let now = MilliClock::system().unix_now().as_millis();
+        let name = format!("pimentochute-{}-{number}-{now}", std::process::id());
         let path = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&path).expect("folder is created");
+        std::fs::create_dir(&path).expect("folder is created");
         Self { path }
     }
 
