Measure the times of configuration changes and urgent starts

Cause: the limits of 12 s for a configuration change and 2.9 s for urgent work were not measured with running daemons.

Change: control_cost hands in 20 patches and 20 urgent jobs per fleet and prints the median and the longest time.

--- a/tests/src/bin/control_cost/caller.rs
+++ b/tests/src/bin/control_cost/caller.rs
@@ -28,6 +28,12 @@
 /// The pause between two tries or looks.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// The pause between two looks when a time is measured.
+const SHORT_PAUSE: Duration = Duration::from_millis(5);
+
+/// The time after which an urgent job counts as not started.
+const URGENT_LIMIT: Duration = Duration::from_secs(10);
+
 /// The tasks of one service job.
 const SERVICE_TASKS: u32 = 12;
 
@@ -60,7 +66,11 @@
                 json!({"op": "set_queue", "queue": format!("{kind}-{index}"), "config": config})
             })
         });
-        let operations: Vec<Value> = teams.chain(queues).collect();
+        let config = json!({
+            "kind": "batch", "open": true, "teams": [team_name(0)], "priority": "urgent",
+        });
+        let urgent = json!({"op": "set_queue", "queue": "urgent", "config": config});
+        let operations: Vec<Value> = teams.chain(queues).chain([urgent]).collect();
         let patch = json!({
             "id": "measurement", "base_version": 0, "author": "desk", "operations": operations,
         });
@@ -99,7 +109,7 @@
                 sleep(PAUSE).await;
             }
         }
-        while self.placed_tasks().await? < u64::from(tasks) {
+        while self.status(0, "placed_tasks").await? < u64::from(tasks) {
             if begun.elapsed() > limit {
                 return Err("not all tasks are placed in time".into());
             }
@@ -108,6 +118,54 @@
         Ok(begun.elapsed())
     }
 
+    /// Hands in a patch and returns the time until every host has it in force.
+    pub async fn change_config(&self, number: u32) -> BenchResult<Duration> {
+        let base: u64 = self.status(0, "config_version").await?;
+        let config = json!({"share": 2, "max_tasks": 100_000, "max_requests": 100 + number});
+        let patch = json!({
+            "id": format!("change-{number}"), "base_version": base, "author": "desk",
+            "operations": [{"op": "set_team", "team": team_name(number), "config": config}],
+        });
+        let begun = Instant::now();
+        let host = number as usize;
+        let (status, text) = self.post(host, "/v1/config/patches", &patch).await?;
+        if status != StatusCode::OK {
+            return Err(format!("patch {number}: {status} {text}").into());
+        }
+        for host in 0..self.hosts.len() {
+            while self.status(host, "config_version").await? <= base {
+                sleep(SHORT_PAUSE).await;
+            }
+        }
+        Ok(begun.elapsed())
+    }
+
+    /// Submits an urgent job and returns the time until its host knows that
+    /// it runs.
+    pub async fn start_urgent(&self, number: u32) -> BenchResult<Duration> {
+        let body = json!({
+            "queue": "urgent", "idempotency_key": format!("urgent-{number}"),
+            "command": "run 2000", "demand": {"cpu_millis": 250, "memory_mib": 64},
+        });
+        let begun = Instant::now();
+        let host = number as usize;
+        let (status, text) = self.post(host, "/v1/jobs", &body).await?;
+        if status != StatusCode::OK {
+            return Err(format!("urgent job {number}: {status} {text}").into());
+        }
+        let job: Value = serde_json::from_str(&text)?;
+        let path = format!("/v1/jobs/{}", job["id"].as_str().unwrap_or_default());
+        while begun.elapsed() < URGENT_LIMIT {
+            let (_, text) = self.call(host, Method::GET, &path, &Value::Null).await?;
+            let job: Value = serde_json::from_str(&text)?;
+            if job["tasks"][0]["status"] == "running" {
+                return Ok(begun.elapsed());
+            }
+            sleep(SHORT_PAUSE).await;
+        }
+        Err(format!("urgent job {number} does not run").into())
+    }
+
     /// Submits batch jobs of one task at a steady rate until `stop`; returns
     /// how many were not accepted.
     pub async fn stream(&self, rate: u32, stop: Instant) -> usize {
@@ -132,13 +190,13 @@
             .count()
     }
 
-    /// Returns the tasks that the state of the first daemon has placed.
-    async fn placed_tasks(&self) -> BenchResult<u64> {
+    /// Returns a number of the status page of a host.
+    async fn status(&self, host: usize, field: &str) -> BenchResult<u64> {
         let (_, text) = self
-            .call(0, Method::GET, "/v1/status", &Value::Null)
+            .call(host, Method::GET, "/v1/status", &Value::Null)
             .await?;
         let status: Value = serde_json::from_str(&text)?;
-        Ok(status["placed_tasks"].as_u64().unwrap_or(0))
+        Ok(status[field].as_u64().unwrap_or(0))
     }
 
     async fn post(
--- a/tests/src/bin/control_cost/main.rs
+++ b/tests/src/bin/control_cost/main.rs
@@ -81,6 +81,9 @@
     }
 }
 
+/// The configuration changes and urgent jobs whose times are measured.
+const TRIES: u32 = 20;
+
 /// The time of one measurement.
 const WINDOW: Duration = Duration::from_secs(20);
 
@@ -120,6 +123,7 @@
     eprintln!("{name}: {tasks} tasks are placed after {took:?}");
     sleep(SETTLING).await;
     measure(cell, &format!("{name}_at_rest")).await?;
+    measure_times(caller, name).await?;
     for &rate in fleet.streams {
         let stop = Instant::now() + SETTLING + WINDOW + Duration::from_secs(1);
         let stream = caller.stream(rate, stop);
@@ -134,6 +138,30 @@
     Ok(())
 }
 
+/// Prints the longest and the median time until a configuration change is in
+/// force on every host, and until an urgent job runs.
+async fn measure_times(caller: &JobCaller, name: &str) -> BenchResult<()> {
+    let (mut changes, mut starts) = (Vec::new(), Vec::new());
+    for number in 0..TRIES {
+        changes.push(caller.change_config(number).await?);
+        starts.push(caller.start_urgent(number).await?);
+    }
+    for (what, times, target) in [
+        ("config_change", &mut changes, 12.0),
+        ("urgent_start", &mut starts, 2.9),
+    ] {
+        times.sort();
+        for (rank, time) in [
+            ("median", times[times.len() / 2]),
+            ("longest", times[times.len() - 1]),
+        ] {
+            let figure = format!("{name}_{what}_{rank}");
+            print(&figure, time.as_secs_f64(), "s", Some(target));
+        }
+    }
+    Ok(())
+}
+
 /// Prints what each daemon uses within the window.
 async fn measure(cell: &MeasuredCell, name: &str) -> BenchResult<()> {
     let before = cell.sample()?;
@@ -143,28 +171,34 @@
     let seconds = begun.elapsed().as_secs_f64();
     for (host, (before, after)) in before.iter().zip(&after).enumerate() {
         let core = (after.cpu_seconds - before.cpu_seconds) / seconds * 100.0;
-        print(name, host, "processor", core, "% of a core", Some(3.4));
+        print_host(name, host, "processor", core, "% of a core", Some(3.4));
         let resident = after.resident_bytes / 1_048_576.0;
-        print(name, host, "resident", resident, "MiB", Some(32.0));
+        print_host(name, host, "resident", resident, "MiB", Some(32.0));
         let mut sum = 0.0;
         for ((kind, before), (_, after)) in before.traffic.iter().zip(&after.traffic) {
             let rate = (after.bytes - before.bytes) as f64 / seconds;
             let messages = (after.messages - before.messages) as f64 / seconds;
             sum += rate;
-            print(name, host, &format!("{kind}_bytes"), rate, "B/s", None);
+            print_host(name, host, &format!("{kind}_bytes"), rate, "B/s", None);
             let figure = format!("{kind}_messages");
-            print(name, host, &figure, messages, "1/s", None);
+            print_host(name, host, &figure, messages, "1/s", None);
         }
-        print(name, host, "network", sum, "B/s", Some(14_000.0));
+        print_host(name, host, "network", sum, "B/s", Some(14_000.0));
     }
     Ok(())
 }
 
+/// Prints a figure of a host.
+fn print_host(case: &str, host: usize, what: &str, value: f64, unit: &str, target: Option<f64>) {
+    let figure = format!("{case}_host_{}_{what}", host + 1);
+    print(&figure, value, unit, target);
+}
+
 /// Prints a figure for which less is better.
-fn print(case: &str, host: usize, what: &str, value: f64, unit: &str, target: Option<f64>) {
+fn print(figure: &str, value: f64, unit: &str, target: Option<f64>) {
     let line = serde_json::json!({
-        "figure": format!("{case}_host_{}_{what}", host + 1),
-        "value": (value * 100.0).round() / 100.0,
+        "figure": figure,
+        "value": (value * 1_000.0).round() / 1_000.0,
         "unit": unit,
         "target": target,
         "better": "lower",
