--- a/crates/pimentochute-server/src/assembly.rs
+++ b/crates/pimentochute-server/src/assembly.rs
@@ -83,7 +83,6 @@
         router: router.clone(),
         config: runtime.config,
         hosts: runtime.hosts,
-        data_centre: context.settings.data_centre.clone(),
         centre_index: index(context.settings.centre_index()),
         centre_count: index(context.settings.data_centres.len()),
         position: host_position(context),
--- a/crates/pimentochute-server/src/control/endpoints.rs
+++ b/crates/pimentochute-server/src/control/endpoints.rs
@@ -2,23 +2,18 @@
 
 use std::sync::Arc;
 
-use pimentochute_base::{DataCentreName, EndpointName};
-use pimentochute_platform::{HostEntry, HostRole, HostStatus};
-use pimentochute_route::{
-    EndpointSpec, EndpointStatus, HostPosition, RequestRouter, TeamQuota, host_permits,
-};
+use pimentochute_route::{EndpointSpec, HostPosition, RequestRouter, TeamQuota, host_permits};
 use pimentochute_state::CellConfig;
 use tokio::sync::watch;
 
 use super::config::ConfigShared;
-use super::directory::HostList;
+use super::directory::{HostList, LocalHosts};
 
 /// Keeps the router in step with the host list and the configuration.
 pub(crate) struct RouterFeed {
     pub(crate) router: RequestRouter,
     pub(crate) config: Arc<ConfigShared>,
     pub(crate) hosts: watch::Receiver<HostList>,
-    pub(crate) data_centre: DataCentreName,
     pub(crate) centre_index: u32,
     pub(crate) centre_count: u32,
     pub(crate) position: HostPosition,
@@ -50,13 +45,14 @@
         }
     }
 
-    fn feed_endpoints(&self, list: &HostList) {
-        let Some(list) = list else { return };
-        let local = list
+    fn feed_endpoints(&self, hosts: &LocalHosts) {
+        let Some(endpoints) = &hosts.endpoints else {
+            return;
+        };
+        let specs = endpoints
             .iter()
-            .filter(|host| host.role == HostRole::Endpoint && host.data_centre == self.data_centre);
-        self.router
-            .set_endpoints(local.filter_map(endpoint_spec).collect());
+            .filter_map(|host| EndpointSpec::try_from(host).ok());
+        self.router.set_endpoints(specs.collect());
     }
 
     fn feed_teams(&self, config: &CellConfig) {
@@ -74,17 +70,3 @@
         self.router.set_teams(quotas.collect());
     }
 }
-
-fn endpoint_spec(host: &HostEntry) -> Option<EndpointSpec> {
-    Some(EndpointSpec {
-        name: EndpointName::new(&host.name).ok()?,
-        service: host.service.clone()?,
-        address: host.address,
-        slots: host.slots,
-        connections: host.connections,
-        status: match host.status {
-            HostStatus::Live => EndpointStatus::Live,
-            HostStatus::Leaving => EndpointStatus::Leaving,
-        },
-    })
-}
--- a/crates/pimentochute-server/src/control/runtime.rs
+++ b/crates/pimentochute-server/src/control/runtime.rs
@@ -67,6 +67,7 @@
         let (builder, changes, writer) = RuntimeBuilder::new(context, clients)?;
         let poller = Arc::new(DirectoryPoller::new(
             Arc::clone(&clients.directory),
+            context.settings.data_centre.clone(),
             context.settings.directory.poll_ms,
         ));
         let hosts = poller.subscribe();
@@ -190,7 +191,6 @@
             table: Arc::clone(&self.context.peers),
             clock: self.context.clock.clone(),
             settings: settings.workers,
-            data_centre: settings.data_centre.clone(),
             hosts,
             releasing: AtomicBool::new(false),
             unreachable: Arc::clone(unreachable),
--- a/crates/pimentochute-server/src/control/session.rs
+++ b/crates/pimentochute-server/src/control/session.rs
@@ -11,9 +11,10 @@
 use pimentochute_state::{CellRecord, RecordOutcome, TaskPhase};
 use tokio::sync::watch;
 
+use super::directory::ListedWorker;
 use super::plan::AbandonedTasks;
 use super::reconcile::{ReconcileError, Reconciler, is_wanted};
-use super::workers::{ListedWorker, WorkerContext};
+use super::workers::WorkerContext;
 
 /// The time between two tries to take control.
 const ACQUIRE_PAUSE: MilliSpan = MilliSpan::new(1000);
@@ -85,11 +86,18 @@
         let mut changes = self.context.cell.subscribe();
         while !self.is_obsolete() {
             let pause = self.step().await;
-            let deadline = tokio::time::Instant::now() + pause.as_duration();
-            while tokio::time::Instant::now() < deadline {
-                let waited = tokio::time::timeout_at(deadline, changes.changed()).await;
-                if waited.is_err() || self.needs_attention() {
-                    break;
+            let deadline = tokio::time::sleep(pause.as_duration());
+            tokio::pin!(deadline);
+            loop {
+                tokio::select! {
+                    () = &mut deadline => break,
+                    // Without control no change asks for a command; every host
+                    // has a session for every worker of the data centre.
+                    _ = changes.changed(), if self.has_control() => {
+                        if self.needs_attention() {
+                            break;
+                        }
+                    }
                 }
             }
         }
@@ -105,11 +113,12 @@
         }
     }
 
+    fn has_control(&self) -> bool {
+        matches!(self.control, ControlState::Held(_))
+    }
+
     /// Tells whether the state asks for a command before the next renewal.
     fn needs_attention(&self) -> bool {
-        if !matches!(self.control, ControlState::Held(_)) {
-            return false;
-        }
         let fold = self.context.cell.read();
         fold.placements(&self.worker).any(|attempt| {
             let is_new = fold
@@ -413,7 +422,7 @@
     }
 
     fn listed(&self) -> Option<ListedWorker> {
-        self.context.listed_workers().get(&self.worker).copied()
+        self.context.listed_worker(&self.worker)
     }
 
     fn target(&self, listed: ListedWorker) -> WorkerTarget {
--- a/crates/pimentochute-server/src/control/workers.rs
+++ b/crates/pimentochute-server/src/control/workers.rs
@@ -1,18 +1,18 @@
 //! Manages the workers of the data centre: one session per worker.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pimentochute_base::{DataCentreName, MilliClock, WorkerName};
-use pimentochute_platform::{HostRole, HostStatus, WorkerControl};
+use pimentochute_base::{MilliClock, WorkerName};
+use pimentochute_platform::WorkerControl;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::cell::CellShared;
 use super::client::RecordClient;
-use super::directory::HostList;
+use super::directory::{HostList, ListedWorker};
 use super::health::LogHealth;
 use super::session::WorkerSession;
 use crate::PeerTable;
@@ -29,7 +29,6 @@
     pub(crate) table: Arc<PeerTable>,
     pub(crate) clock: MilliClock,
     pub(crate) settings: WorkerSettings,
-    pub(crate) data_centre: DataCentreName,
     pub(crate) hosts: watch::Receiver<HostList>,
     /// Whether control of every worker is given up, for a planned stop.
     pub(crate) releasing: AtomicBool,
@@ -118,7 +117,8 @@
     /// Returns the listed workers, and those that the state knows and that are
     /// not lost.
     fn known_workers(&self) -> BTreeSet<WorkerName> {
-        let mut names: BTreeSet<WorkerName> = self.context.listed_workers().into_keys().collect();
+        let listed = self.context.hosts.borrow().clone();
+        let mut names: BTreeSet<WorkerName> = listed.workers.keys().cloned().collect();
         let fold = self.context.cell.read();
         names.extend(fold.workers().filter(|w| !w.lost).map(|w| w.name.clone()));
         names
@@ -126,25 +126,9 @@
 }
 
 impl WorkerContext {
-    /// Returns the workers of the data centre in the host list.
-    pub(crate) fn listed_workers(&self) -> BTreeMap<WorkerName, ListedWorker> {
-        let hosts = self.hosts.borrow().clone();
-        let hosts = hosts.as_ref().map_or(&[][..], |hosts| hosts.as_slice());
-        hosts
-            .iter()
-            .filter(|host| host.role == HostRole::Worker && host.data_centre == self.data_centre)
-            .filter_map(|host| {
-                let name = WorkerName::new(&host.name).ok()?;
-                let leaving = host.status == HostStatus::Leaving;
-                Some((
-                    name,
-                    ListedWorker {
-                        address: host.address,
-                        leaving,
-                    },
-                ))
-            })
-            .collect()
+    /// Returns a worker of the data centre as the host list has it.
+    pub(crate) fn listed_worker(&self, name: &WorkerName) -> Option<ListedWorker> {
+        self.hosts.borrow().workers.get(name).copied()
     }
 
     /// Tells whether control of every worker is given up.
@@ -152,12 +136,3 @@
         self.releasing.load(Ordering::SeqCst)
     }
 }
-
-/// A worker in the host list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ListedWorker {
-    /// The address that the worker serves.
-    pub(crate) address: std::net::SocketAddr,
-    /// Whether the worker finishes what it has and takes nothing new.
-    pub(crate) leaving: bool,
-}
--- a/crates/pimentochute-server/src/settings/groups.rs
+++ b/crates/pimentochute-server/src/settings/groups.rs
@@ -92,7 +92,7 @@
         /// How long a caller waits for its record to be read back.
         outcome_wait_ms: MilliSpan = 5_000, 50..=60_000;
         /// The time between snapshots.
-        snapshot_ms: MilliSpan = 60_000, 500..=3_600_000;
+        snapshot_ms: MilliSpan = 600_000, 500..=3_600_000;
     }
 }
 
