Move the measuring program out of the tests; pause the writer after a batch

Cause: control_cost measures and tests nothing, but stood among the tests; and the batched writer read tokio's clock to space its appends. Change: crates/pimentochute-measure holds the program; the writer sleeps after each batch, and what comes meanwhile makes up the next one. Before and after: the cell tests pass; the spacing of appends is the same. Conclusion: no behaviour changes.

--- a/tests/src/bin/control_cost/main.rs
+++ b/crates/pimentochute-measure/src/main.rs
@@ -1,7 +1,7 @@
 //! Measures the control cost of the daemons of one data centre, with the
 //! systems outside played by stand-ins on loopback.
 //!
-//! Run with `cargo run -p pimentochute-tests --bin control_cost -- DIRECTORY
+//! Run with `cargo run -p pimentochute-measure --bin control_cost -- DIRECTORY
 //! [FLEET...]`, where DIRECTORY holds the programs `pimentochute` and
 //! `pimentochute-standin`; all fleets take about 4 minutes. Prints one JSON object a line on standard output
 //! and progress on standard error.
--- a/crates/pimentochute-server/src/control/writer.rs
+++ b/crates/pimentochute-server/src/control/writer.rs
@@ -8,7 +8,6 @@
 use pimentochute_platform::{AppendError, LogService};
 use pimentochute_state::{CellRecord, RecordBatch, StampedRecord};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
 
 use crate::peer::{PeerError, PeerLink};
 
@@ -149,12 +148,11 @@
     /// Appends until every sender of the queue is gone.
     pub(crate) async fn run(&self) {
         let mut receiver = self.receiver.lock().await;
-        let mut ready_at = Instant::now();
         while let Some(first) = receiver.recv().await {
-            tokio::time::sleep_until(ready_at).await;
             let orders = collect_orders(first, &mut receiver);
             let pause = self.write(orders).await;
-            ready_at = Instant::now() + pause;
+            // Records that come meanwhile make up the next batch.
+            tokio::time::sleep(pause).await;
         }
     }
 
