Look into the backlog right before the listener closes

By reading: callers that keep reconnecting never leave the backlog empty for 20 ms, so that after 1 s the listener is closed with connections in it, which the system resets. Change: the last step before closing takes every waiting connection by the system's own non-blocking accept, then closes. Conclusion: the window shrinks from a scheduling round to a system call.

--- a/crates/pimentochute-server/src/http_server.rs
+++ b/crates/pimentochute-server/src/http_server.rs
@@ -128,10 +128,7 @@
         }
         let _ = timeout(BACKLOG_TIME, run.admit_backlog(&listener)).await;
         drop(listener);
-        self.listener
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
+        self.close_listener(&mut run).await;
         log::info!("http: {} closed its listener", self.name);
         run.connections.close();
         run.connections.wait().await;
@@ -139,6 +136,35 @@
         Ok(())
     }
 
+    /// Closes the listener right after a look at its backlog.
+    ///
+    /// Callers that keep arriving never leave the backlog empty for long, and
+    /// closing resets what is in it. The look asks the system itself, since
+    /// the runtime learns of a new connection only later. A connection that is
+    /// established between the look and the close is still reset; the time
+    /// between failing readiness and closing keeps the balancer's traffic away.
+    async fn close_listener(&self, run: &mut ServerRun) {
+        let slot = self
+            .listener
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(Ok(listener)) = slot.and_then(Arc::into_inner).map(TcpListener::into_std) else {
+            return;
+        };
+        let mut last = Vec::new();
+        while let Ok(accepted) = listener.accept() {
+            last.push(accepted);
+        }
+        drop(listener);
+        for (stream, remote) in last {
+            let stream = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            run.admit(stream.map(|stream| (stream, remote))).await;
+        }
+    }
+
     fn listener(&self) -> Option<Arc<TcpListener>> {
         let slot = self.listener.lock();
         slot.unwrap_or_else(PoisonError::into_inner).clone()
