Give each setting an effect

Cause: reading the change again, three settings were checked and listed for operators but read by nothing: log.append_records, requests.spare_connections and configuration.history_length. Change: the batched writer takes append_records in place of a constant of 256. The other two are removed: one spare connection is fixed by the design, and the length of the history must be the same on every host, since the answer to a repeated patch depends on it. Before: three settings without effect. Conclusion: what operators read is what the daemon does.

--- a/crates/pimentochute-server/src/control/runtime.rs
+++ b/crates/pimentochute-server/src/control/runtime.rs
@@ -154,6 +154,7 @@
         let pace = AppendPace {
             writer: settings.log.append_ms,
             fallback: settings.log.direct_append_ms,
+            records: usize::try_from(settings.log.append_records).unwrap_or(usize::MAX),
         };
         let (writer, queue) = RecordWriter::new(
             Arc::clone(&clients.log),
--- a/crates/pimentochute-server/src/control/writer.rs
+++ b/crates/pimentochute-server/src/control/writer.rs
@@ -11,9 +11,6 @@
 
 use crate::peer::{PeerError, PeerLink};
 
-/// The most records of one append.
-const MAX_BATCH: usize = 256;
-
 /// About the bytes of a record without its lists and texts.
 const BASE_RECORD_BYTES: usize = 500;
 
@@ -44,7 +41,7 @@
     Nobody,
 }
 
-/// How often a host appends.
+/// How often a host appends, and how much at once.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct AppendPace {
     /// The shortest time between appends of the data centre's writer.
@@ -52,6 +49,8 @@
     /// The shortest time between appends of a host that cannot reach the
     /// writer.
     pub fallback: MilliSpan,
+    /// The records from which on a batch takes no more.
+    pub records: usize,
 }
 
 /// The sending side of the batched writer.
@@ -149,7 +148,7 @@
     pub(crate) async fn run(&self) {
         let mut receiver = self.receiver.lock().await;
         while let Some(first) = receiver.recv().await {
-            let orders = collect_orders(first, &mut receiver);
+            let orders = collect_orders(first, &mut receiver, self.pace.records);
             let pause = self.write(orders).await;
             // Records that come meanwhile make up the next batch.
             tokio::time::sleep(pause).await;
@@ -226,11 +225,15 @@
     }
 }
 
-fn collect_orders(first: WriteOrder, receiver: &mut mpsc::Receiver<WriteOrder>) -> Vec<WriteOrder> {
+fn collect_orders(
+    first: WriteOrder,
+    receiver: &mut mpsc::Receiver<WriteOrder>,
+    max_records: usize,
+) -> Vec<WriteOrder> {
     let mut count = first.records.len();
     let mut bytes = first.size();
     let mut orders = vec![first];
-    while count < MAX_BATCH && bytes < MAX_BATCH_BYTES {
+    while count < max_records && bytes < MAX_BATCH_BYTES {
         let Ok(order) = receiver.try_recv() else {
             break;
         };
--- a/crates/pimentochute-server/src/settings/groups.rs
+++ b/crates/pimentochute-server/src/settings/groups.rs
@@ -17,8 +17,6 @@
         fresh_ms: MilliSpan = 5_000, 100..=60_000;
         /// The time without evidence after which keyed work is refused.
         key_grace_ms: MilliSpan = 10_000, 100..=60_000;
-        /// The number of versions and patches that are kept for reading.
-        history_length: u32 = 200, 1..=10_000;
     }
 }
 
@@ -127,8 +125,6 @@
         probe_idle_ms: MilliSpan = 1_000, 10..=600_000;
         /// The time limit of a probe.
         probe_timeout_ms: MilliSpan = 500, 10..=30_000;
-        /// The connections kept open beyond the slots in use, per endpoint.
-        spare_connections: u32 = 1, 0..=64;
     }
 }
 
