Ask other hosts before an owner is replaced

Two reasons in the logs. A host believed its own missed calls alone. And the group names a member by its partitions, 32, so that of 39 hosts 7 are not listed, and the first successor took a sound owner for gone.

Change: a host that misses calls asks three hosts of other data centres what they see (pure module `owner_watch`). It suspects the owner only if nobody reaches it and somebody answers; a host that hears nobody may be the one that is cut off, and leaves it to the group. A list that may be incomplete shows nobody to be gone, and an owner that answers is not replaced because of it. The calls moved from `claim` to `watcher`.

Test first: an_owner_that_a_large_group_does_not_list_stays failed before ("a sound owner was replaced").

--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -14,8 +14,7 @@
 
 use crate::context::EdgeContext;
 use crate::members::HostGroup;
-use crate::peer::{PING_PATH, SharedCalls};
-use crate::peer_wire::{OwnerAnswer, OwnerPing};
+use crate::owner_watch::OwnerWatch;
 use crate::{AppendCall, KeyedRecord, StoreError};
 
 /// The topic of the claims.
@@ -49,20 +48,6 @@
 /// partitions belong for a while to hosts that are gone.
 const MAX_TURNS: u32 = 8;
 
-/// The time between two pings by hosts that are not among the first to take
-/// over; they matter only when the first ones are gone as well.
-const FAR_PING_PAUSE: MilliSpan = MilliSpan::new(600);
-
-/// The time between two pings of the owner.
-const PING_PAUSE: MilliSpan = MilliSpan::new(150);
-
-/// The time in which the owner answers a ping; a slow one takes up to five
-/// times as long as usual.
-const PING_TIMEOUT: MilliSpan = MilliSpan::new(250);
-
-/// The pings in a row without an answer after which the owner is replaced.
-const MISSES_TO_SUSPECT: u32 = 2;
-
 /// A host whose last answer from the log is older than this replaces nobody.
 const SOUND_SILENCE: MilliSpan = MilliSpan::new(700);
 
@@ -91,31 +76,22 @@
     pub(crate) learnt: MilliTime,
 }
 
-/// An owner that does not answer this host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct OwnerSuspicion {
-    epoch: EpochNumber,
-    since: MilliTime,
-}
-
 /// Follows the claims and makes one when the cell has no owner.
 #[derive(Clone)]
 pub(crate) struct ClaimFeed {
     context: EdgeContext,
     group: HostGroup,
-    calls: SharedCalls,
     view: watch::Sender<ClaimView>,
-    suspicion: Arc<Mutex<Option<OwnerSuspicion>>>,
+    watch: Arc<Mutex<OwnerWatch>>,
 }
 
 impl ClaimFeed {
-    pub(crate) fn new(context: EdgeContext, group: HostGroup, calls: SharedCalls) -> Self {
+    pub(crate) fn new(context: EdgeContext, group: HostGroup) -> Self {
         Self {
             context,
             group,
-            calls,
             view: watch::Sender::new(ClaimView::default()),
-            suspicion: Arc::default(),
+            watch: Arc::default(),
         }
     }
 
@@ -306,80 +282,18 @@
             };
             return is_heir || now.since(view.learnt) >= wait;
         }
-        let suspected = self
-            .suspicion()
-            .filter(|suspicion| suspicion.epoch == claim.epoch);
-        let is_suspect = suspected.is_some_and(|suspicion| now.since(suspicion.since) >= turn);
-        is_sound && is_suspect || rank == 0 && self.group.is_gone(&claim.member, view.learnt)
+        let watch = *self.watch();
+        let suspected = watch.suspected_since(claim.epoch);
+        let is_suspect = suspected.is_some_and(|since| now.since(since) >= turn);
+        // The group may name an owner late that still works and answers.
+        let is_gone = rank == 0 && self.group.is_gone(&claim.member, view.learnt);
+        is_sound && is_suspect || is_gone && watch.is_doubtful()
     }
 
-    /// Asks the owner again and again whether it works, as long as this host
-    /// is one of those that would take over. A process that was killed, a host
-    /// that is frozen and an owner that lost the log are noticed sooner than
-    /// by the owner's absence from the group.
-    pub(crate) async fn watch_owner(&self, stop: CancellationToken) {
-        // A host that starts looks soon: all may have lost power together.
-        let mut misses = 1;
-        while !stop.is_cancelled() {
-            let is_close = misses > 0 || self.group.is_near_successor();
-            let pause = if is_close { PING_PAUSE } else { FAR_PING_PAUSE };
-            tokio::select! {
-                () = stop.cancelled() => return,
-                () = tokio::time::sleep(pause.as_duration()) => {}
-            }
-            let claim = self.view.borrow().claim.clone();
-            let watched = claim.filter(|claim| {
-                !claim.member.is_empty()
-                    && *claim.member != *self.context.member
-                    && self.group.successor_rank().is_some()
-            });
-            misses = match &watched {
-                Some(claim) if self.ping(claim).await => 0,
-                Some(_) => misses + 1,
-                None => misses.min(1),
-            };
-            self.note_misses(watched.as_ref(), misses);
-        }
-    }
-
-    /// Suspects the owner after some misses, and not any more once it answers.
-    fn note_misses(&self, watched: Option<&OwnerClaim>, misses: u32) {
-        let mut suspicion = self.suspicion_slot();
-        let Some(claim) = watched.filter(|_| misses >= MISSES_TO_SUSPECT) else {
-            *suspicion = None;
-            return;
-        };
-        if suspicion.is_none_or(|known| known.epoch != claim.epoch) {
-            log::warn!(
-                epoch:% = claim.epoch, owner:% = claim.member, misses = MISSES_TO_SUSPECT;
-                "claim: the owner does not work"
-            );
-            *suspicion = Some(OwnerSuspicion {
-                epoch: claim.epoch,
-                since: self.context.clock.now(),
-            });
-        }
-    }
-
-    fn suspicion(&self) -> Option<OwnerSuspicion> {
-        *self.suspicion_slot()
-    }
-
-    fn suspicion_slot(&self) -> MutexGuard<'_, Option<OwnerSuspicion>> {
-        self.suspicion
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    async fn ping(&self, claim: &OwnerClaim) -> bool {
-        let ping = OwnerPing {
-            member: claim.member.clone(),
-        };
-        let answer = self
-            .calls
-            .ask_owner(&claim.address, PING_PATH, &ping, MilliSpan::ZERO);
-        let answer = tokio::time::timeout(PING_TIMEOUT.as_duration(), answer).await;
-        matches!(answer, Ok(Ok(OwnerAnswer::Owner)))
+    /// What this host believes of the owner. Each change of it is a single
+    /// step, so a panic elsewhere leaves it whole.
+    pub(crate) fn watch(&self) -> MutexGuard<'_, OwnerWatch> {
+        self.watch.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Gives the cell up, so that a successor need not wait.
--- a/crates/pimentochute-edge/src/daemon.rs
+++ b/crates/pimentochute-edge/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::peer::{PeerCalls, peer_router};
 use crate::ready::ReadyCheck;
 use crate::reload::SettingsReload;
+use crate::watcher::OwnerWatcher;
 
 /// The time between failing the load balancer's checks and closing the
 /// listener: two checks, one a second, and their way.
@@ -90,6 +91,7 @@
     config: ConfigFeed,
     group: HostGroup,
     claims: ClaimFeed,
+    watcher: OwnerWatcher,
     owner: CellOwner,
     front: CallerFront,
     writer: SharedWriter,
@@ -199,7 +201,7 @@
 fn children(context: &EdgeContext, servers: &EdgeServers, tokens: &StopTokens) -> Vec<ChildSpec> {
     let calls = Arc::new(PeerCalls::new());
     let group = HostGroup::new(context.clone());
-    let claims = ClaimFeed::new(context.clone(), group.clone(), Arc::clone(&calls));
+    let claims = ClaimFeed::new(context.clone(), group.clone());
     let config = ConfigFeed::new(
         context.clone(),
         group.clone(),
@@ -213,6 +215,12 @@
         local.clone(),
         Arc::clone(&calls),
     );
+    let watcher = OwnerWatcher {
+        context: context.clone(),
+        group: group.clone(),
+        claims: claims.clone(),
+        calls: Arc::clone(&calls),
+    };
     let (intake, writer) = JobIntake::new(context.clone(), group.clone(), desk.clone());
     let owner = CellOwner {
         context: context.clone(),
@@ -238,13 +246,14 @@
         config: config.clone(),
         group,
         claims,
+        watcher: watcher.clone(),
         owner,
         front,
         writer: Arc::new(tokio::sync::Mutex::new(writer)),
     };
     let mut children = parts.children(tokens);
     let front = parts.front.router();
-    let peers = peer_router(context, &config, &local);
+    let peers = peer_router(context, &config, &local, &watcher);
     children.push(servers.callers.child(front, tokens.callers.clone()));
     children.push(servers.checks.child(ready.router(), tokens.rest.clone()));
     children.push(servers.peers.child(peers, tokens.rest.clone()));
@@ -282,7 +291,7 @@
         let group = self.group.clone();
         let reader = (self.group.clone(), self.claims.clone());
         let claims = self.claims.clone();
-        let watcher = self.claims.clone();
+        let watcher = self.watcher.clone();
         let owner = self.owner.clone();
         let standby = self.owner.clone();
         let writer = Arc::clone(&self.writer);
@@ -316,8 +325,8 @@
                 async move { owner.stand_by(stop).map(Ok).await }
             }),
             ChildSpec::new("owner watch", move |stop| {
-                let claims = watcher.clone();
-                async move { claims.watch_owner(stop).map(Ok).await }
+                let watcher = watcher.clone();
+                async move { watcher.run(stop).map(Ok).await }
             }),
             ChildSpec::new("owner", move |stop| {
                 let owner = owner.clone();
--- a/crates/pimentochute-edge/src/lib.rs
+++ b/crates/pimentochute-edge/src/lib.rs
@@ -15,15 +15,18 @@
 mod members;
 mod outage_log;
 mod owner;
+mod owner_watch;
 mod peer;
 mod peer_wire;
 mod ports;
 mod ready;
 mod reload;
 mod settings;
+mod watcher;
 
 pub use context::EdgePorts;
 pub use daemon::{EdgeError, run};
+pub use owner_watch::{OwnerOpinion, OwnerVerdict, OwnerWatch};
 pub use ports::{
     AdviceService, AppendCall, CodecError, GroupPlace, KeyedRecord, LogStore, NewestPage,
     PlatformCodec, StoreError, TopicPage, WorkerOrders, WriterStamp,
--- a/crates/pimentochute-edge/src/members.rs
+++ b/crates/pimentochute-edge/src/members.rs
@@ -46,6 +46,9 @@
     /// When the last answered join was sent.
     joined_at: Option<MilliTime>,
     members: BTreeSet<String>,
+    /// Every member is listed. A member is listed by its partitions, so that
+    /// some are missing when there are more members than partitions.
+    is_whole: bool,
     /// Larger with each change of the members.
     version: u64,
     /// When the last answered read of the members was sent.
@@ -86,11 +89,12 @@
         self.successor_rank().is_some_and(|rank| rank < NEAR_RANKS)
     }
 
-    /// Tells whether a member surely left: it is missing in a list that was
-    /// asked for after `since`.
+    /// Tells whether a member surely left: it is missing in a whole list that
+    /// was asked for after `since`.
     pub(crate) fn is_gone(&self, member: &str, since: MilliTime) -> bool {
         let state = self.state();
-        state.members_at.is_some_and(|at| at > since) && !state.members.contains(member)
+        let is_new = state.members_at.is_some_and(|at| at > since);
+        is_new && state.is_whole && !state.members.contains(member)
     }
 
     /// Returns the version of the member list; none before the first read.
@@ -214,7 +218,10 @@
         match rows {
             Ok(rows) => {
                 let mut state = self.state();
+                let partitions = rows.len();
                 let members: BTreeSet<_> = rows.into_values().collect();
+                // The partitions are shared out evenly.
+                state.is_whole = members.len() < partitions;
                 if members != state.members {
                     state.version += 1;
                     state.members = members;
--- a/crates/pimentochute-edge/src/peer.rs
+++ b/crates/pimentochute-edge/src/peer.rs
@@ -18,9 +18,10 @@
 use crate::context::EdgeContext;
 use crate::owner::CellDesk;
 use crate::peer_wire::{
-    AdviceQuestion, AdviceReply, ConfigAnswer, ConfigQuestion, JobHandIn, JobQuestion, OwnerAnswer,
-    OwnerPing, PendingQuestion,
+    AdviceQuestion, AdviceReply, ConfigAnswer, ConfigQuestion, JobHandIn, JobQuestion,
+    OpinionQuestion, OwnerAnswer, OwnerPing, PendingQuestion,
 };
+use crate::watcher::OwnerWatcher;
 
 /// The time for a call to another host, besides the wait of the work itself.
 const PEER_TIMEOUT: MilliSpan = MilliSpan::new(600);
@@ -38,6 +39,8 @@
 pub(crate) const HAND_IN_PATH: &str = "/cell/hand-in";
 /// Asks whether the host is the owner.
 pub(crate) const PING_PATH: &str = "/cell/ping";
+/// Asks whether the owner answers the host.
+const OPINION_PATH: &str = "/cell/opinion";
 /// Asks for the configuration.
 const CONFIG_PATH: &str = "/config";
 /// Asks for the state of a job.
@@ -125,6 +128,19 @@
             .await
     }
 
+    /// Asks the host at `address` what it sees of the owner.
+    ///
+    /// # Errors
+    /// Fails if there is no usable answer.
+    pub(crate) async fn ask_opinion(
+        &self,
+        address: &str,
+        question: &OpinionQuestion,
+    ) -> Result<OwnerAnswer, PeerCallError> {
+        self.call(address, OPINION_PATH, question, MilliSpan::ZERO)
+            .await
+    }
+
     /// Passes a question to the advice service through the host that it names.
     pub(crate) async fn advise(&self, command: &AdviceCommand) -> Option<Vec<AdviceRow>> {
         let question = AdviceQuestion::from(command);
@@ -171,7 +187,13 @@
 }
 
 /// Answers the calls of other hosts.
-pub(crate) fn peer_router(context: &EdgeContext, config: &ConfigFeed, desk: &CellDesk) -> Router {
+pub(crate) fn peer_router(
+    context: &EdgeContext,
+    config: &ConfigFeed,
+    desk: &CellDesk,
+    watcher: &OwnerWatcher,
+) -> Router {
+    let watcher = watcher.clone();
     let config = config.clone();
     let state_desk = desk.clone();
     let cancel_desk = desk.clone();
@@ -212,6 +234,15 @@
                 }))
             }
         })
+        .post(OPINION_PATH, move |request: Request| {
+            let watcher = watcher.clone();
+            async move {
+                Ok::<_, viz::Error>(match read::<OpinionQuestion>(request).await {
+                    Some(question) => write(&watcher.opinion(&question).await),
+                    None => bad_request(),
+                })
+            }
+        })
         .post(STATE_PATH, move |request: Request| {
             let desk = state_desk.clone();
             async move {
--- a/crates/pimentochute-edge/src/peer_wire.rs
+++ b/crates/pimentochute-edge/src/peer_wire.rs
@@ -48,6 +48,12 @@
     pub(crate) member: String,
 }
 
+/// Asks another host whether the owner that the claim names answers it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OpinionQuestion {
+    pub(crate) claim: OwnerClaim,
+}
+
 /// Asks how many jobs of a queue wait.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PendingQuestion {
--- a/crates/pimentochute-measure/src/cell_cost/play.rs
+++ b/crates/pimentochute-measure/src/cell_cost/play.rs
@@ -126,8 +126,7 @@
                     terms: QueueTerms::from(&self.config.queues[queue]),
                     spec,
                 };
-                self.cell
-                    .submit(JobCode::new(self.counts.jobs), submission);
+                self.cell.submit(JobCode::new(self.counts.jobs), submission);
                 self.act();
             }
             while let Some(entry) = self.due.first_entry() {
@@ -285,8 +284,11 @@
 }
 
 fn is_good(command: &AdviceCommand, worker: &str) -> bool {
-    run_time(command.workers.len() as u64, &format!("{}{worker}", command.step))
-        .is_multiple_of(GOOD_PART)
+    run_time(
+        command.workers.len() as u64,
+        &format!("{}{worker}", command.step),
+    )
+    .is_multiple_of(GOOD_PART)
 }
 
 fn report(index: usize) -> WorkerReport {
--- a/tests/src/edge_platform.rs
+++ b/tests/src/edge_platform.rs
@@ -122,6 +122,16 @@
         };
     }
 
+    /// Adds members to the group, which take most of its partitions if their
+    /// names come first.
+    pub fn add_members(&self, names: impl IntoIterator<Item = String>) {
+        let now = self.clock.now();
+        let stay = MilliSpan::new(60_000);
+        let mut state = self.state();
+        let members = names.into_iter().map(|name| (name, (now, stay)));
+        state.members.extend(members);
+    }
+
     /// Appends a job as a host does that reaches no owner.
     pub fn append_job(&self, submission: &[u8], job: u64) {
         let record = KeyedRecord {
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -324,3 +324,25 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_owner_that_a_large_group_does_not_list_stays() {
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    let mut cell = cell(&platform).await;
+    // Host 2 gets the cell, and host 0 is the first to take over.
+    for host in [0, 1] {
+        cell.kill(host);
+    }
+    until("host 2 owns the cell", 5, async || cell.owner() == Some(2)).await;
+    cell.start_host(0);
+    until("host 0 is back", 5, async || cell.is_ready(0).await).await;
+    // More members than partitions, and the owner is the last of them.
+    platform.add_members((0..40).map(|index| format!("host-1-{index:02}")));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(cell.owner(), Some(2), "a sound owner was replaced");
+    assert_eq!(submit(&cell, 0, 1).await.status, 200);
+    until("the job is completed", 5, async || {
+        is_completed(&cell, 0, 1).await
+    })
+    .await;
+}
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -384,7 +384,9 @@
             break;
         }
     }
-    let waited = test.now.since(start.until - CellPolicy::default().lease.lease);
+    let waited = test
+        .now
+        .since(start.until - CellPolicy::default().lease.lease);
     assert_eq!(looks.len(), 1, "one look: {looks:?}");
     assert!(waited.as_millis() <= 125, "the look came after {waited}");
 }
