Keep only the end of a job that is over

A new owner without a copy reads the records of all jobs of the last 130 s with their texts and tasks, and a small host has a link of 10 Mbit/s: it did not finish before it was itself replaced.

Change: once a job has ended and no worker has a run of it, its record holds the end and the team alone, its submission is dropped from the log, also from the intake of hosts, and the cell keeps as much in memory (`cell/closed`). What callers are told does not change.

Conclusion: a takeover reads what goes on, not what is over. Small hosts still become owners; that is the next cause.

--- a/crates/pimentochute-edge/src/owner/load.rs
+++ b/crates/pimentochute-edge/src/owner/load.rs
@@ -95,7 +95,12 @@
     let is_submission = |record: &KeyedRecord| record.key.ends_with(SUBMISSION_SUFFIX);
     let (submissions, progress): (Vec<_>, Vec<_>) =
         mirror.progress.records().partition(is_submission);
-    for record in submissions.into_iter().chain(mirror.intake.records()) {
+    for record in submissions {
+        if let Some((code, submission)) = submission_of(&record) {
+            cell.resume(code, submission);
+        }
+    }
+    for record in mirror.intake.records() {
         if let Some((code, submission)) = submission_of(&record) {
             cell.submit(code, submission);
         }
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use pimentochute_base::{EpochNumber, MilliSpan, MilliTime};
 use pimentochute_work::{
-    AdviceCommand, AdviceRow, CellEffect, JobCode, LookCommand, OrderError, RecordBatch,
-    RecordWrite, ReplyKey, StartCommand, StopCommand, WorkCell, WorkerListing,
+    AdviceCommand, AdviceRow, CellEffect, JobCode, LookCommand, OrderError, RecordBatch, ReplyKey,
+    StartCommand, StopCommand, WorkCell, WorkerListing,
 };
 use tokio::sync::{mpsc, oneshot};
 
@@ -369,15 +369,8 @@
     fn write(&mut self, batch: RecordBatch) {
         let sequence = self.sequence;
         self.sequence += 1;
-        let is_dropped = |write: &&RecordWrite| write.value.is_empty();
-        let dropped = batch
-            .writes
-            .iter()
-            .filter(is_dropped)
-            .map(|write| write.job);
-        let dropped: Vec<_> = dropped.collect();
-        if !dropped.is_empty() {
-            self.drop_submissions(&dropped);
+        if !batch.dropped_intake.is_empty() {
+            self.drop_submissions(&batch.dropped_intake);
         }
         let writer = BatchWriter {
             context: self.owner.context.clone(),
@@ -389,7 +382,7 @@
         self.spawn(writer.run());
     }
 
-    /// Drops the submissions of forgotten jobs that a host recorded itself.
+    /// Drops the submissions of closed jobs that hosts recorded themselves.
     fn drop_submissions(&self, jobs: &[JobCode]) {
         let store = Arc::clone(&self.owner.context.ports.store);
         let records = jobs.iter().map(|job| KeyedRecord {
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of a cell at its owner.
 
 mod advise;
+mod closed;
 mod config;
 mod ends;
 mod gang;
@@ -27,6 +28,7 @@
 use crate::worker::WorkerState;
 use crate::{CellConfig, CellPolicy, JobCode, JobKey, OrderError, WorkerKey};
 
+use closed::ClosedJobs;
 use looks::LookPlan;
 use records::{BatchInFlight, StagedAction};
 use teams::TeamState;
@@ -60,6 +62,8 @@
     config: CellConfig,
     jobs: SlotMap<JobKey, JobState>,
     job_keys: BTreeMap<JobCode, JobKey>,
+    /// Jobs that are in neither of the two above.
+    closed: ClosedJobs,
     workers: SlotMap<WorkerKey, WorkerState>,
     worker_keys: BTreeMap<String, WorkerKey>,
     teams: BTreeMap<String, TeamState>,
@@ -86,6 +90,8 @@
     dirty: BTreeSet<JobKey>,
     /// Jobs that are to be forgotten.
     expired: Vec<JobCode>,
+    /// Jobs that closed and whose submission a host recorded itself.
+    dropped_intake: Vec<JobCode>,
     /// What happens once the next batch is in the log.
     staged: Vec<StagedAction>,
     /// The batches on their way to the log, the oldest first.
@@ -115,6 +121,7 @@
             config,
             jobs: SlotMap::with_key(),
             job_keys: BTreeMap::new(),
+            closed: ClosedJobs::default(),
             workers: SlotMap::with_key(),
             worker_keys: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -130,6 +137,7 @@
             submitted: Vec::new(),
             dirty: BTreeSet::new(),
             expired: Vec::new(),
+            dropped_intake: Vec::new(),
             staged: Vec::new(),
             in_flight: VecDeque::new(),
             effects: Vec::new(),
--- a/crates/pimentochute-work/src/cell/ends.rs
+++ b/crates/pimentochute-work/src/cell/ends.rs
@@ -161,7 +161,9 @@
         job.tasks[index].run = run.run;
         let team = job.submission.team.clone();
         self.count_running(team.as_deref(), run.need, true);
-        self.workers[key].add_run(job_key, index, run);
+        if self.workers[key].add_run(job_key, index, run).is_none() {
+            self.jobs[job_key].runs += 1;
+        }
     }
 
     /// Takes a run off its worker; the task waits again.
@@ -173,7 +175,13 @@
     /// Frees what a run takes up on a worker.
     pub(super) fn free_run(&mut self, job_key: JobKey, index: usize, key: WorkerKey) {
         if let Some(run) = self.workers[key].remove_run(job_key, index) {
-            let team = self.jobs[job_key].submission.team.clone();
+            let job = &mut self.jobs[job_key];
+            job.runs -= 1;
+            if job.end.is_some() && job.runs == 0 {
+                // Only now the job can be closed.
+                self.dirty.insert(job_key);
+            }
+            let team = job.submission.team.clone();
             self.count_running(team.as_deref(), run.need, false);
         }
     }
--- a/crates/pimentochute-work/src/cell/jobs.rs
+++ b/crates/pimentochute-work/src/cell/jobs.rs
@@ -1,10 +1,9 @@
 //! Jobs: submission, cancellation, state, expiry.
 
-use pimentochute_base::MilliTime;
 use strum::IntoStaticStr;
 
 use crate::effect::CellEffect;
-use crate::job::{JobState, TaskSpot};
+use crate::job::{JobOrigin, JobState, TaskSpot};
 use crate::{CallerAnswer, JobCode, JobEnd, JobKey, JobSubmission, ReplyKey};
 
 use super::WorkCell;
@@ -26,10 +25,25 @@
     Cancelled,
 }
 
+impl From<JobEnd> for JobShown {
+    fn from(end: JobEnd) -> Self {
+        match end {
+            JobEnd::Completed => Self::Completed,
+            JobEnd::Failed => Self::Failed,
+            JobEnd::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
 impl WorkCell {
     /// Takes in a job that is not in the log yet; the caller is answered once
     /// it is. A known job stays as it is.
     pub fn hand_in(&mut self, code: JobCode, submission: JobSubmission, reply: ReplyKey) {
+        let answer = CallerAnswer::Accepted;
+        if self.closed.get(code).is_some() {
+            self.effects.push(CellEffect::Reply(reply, answer));
+            return;
+        }
         let known = self.job_keys.get(&code).copied();
         let key = known.unwrap_or_else(|| {
             let key = self.add_job(code, submission);
@@ -37,7 +51,6 @@
             self.submitted.push(key);
             key
         });
-        let answer = CallerAnswer::Accepted;
         if self.jobs[key].is_recorded {
             self.effects.push(CellEffect::Reply(reply, answer));
         } else {
@@ -45,13 +58,25 @@
         }
     }
 
-    /// Takes over a job that is in the log; a known one is ignored.
-    pub fn submit(&mut self, code: JobCode, submission: JobSubmission) {
+    /// Takes over a job that its owner recorded; a known one is ignored.
+    pub fn resume(&mut self, code: JobCode, submission: JobSubmission) {
         if !self.job_keys.contains_key(&code) {
             self.add_job(code, submission);
         }
     }
 
+    /// Takes over a job that a host recorded itself; a known one stays as it
+    /// is.
+    pub fn submit(&mut self, code: JobCode, submission: JobSubmission) {
+        if self.closed.get(code).is_some() {
+            self.dropped_intake.push(code);
+            return;
+        }
+        let known = self.job_keys.get(&code).copied();
+        let key = known.unwrap_or_else(|| self.add_job(code, submission));
+        self.jobs[key].origin = JobOrigin::Host;
+    }
+
     fn add_job(&mut self, code: JobCode, submission: JobSubmission) -> JobKey {
         let rate = self.count_team_job(submission.team.as_deref(), submission.received);
         let rate_text: &str = rate.into();
@@ -75,6 +100,11 @@
 
     /// Cancels a job; the caller is answered once that is in the log.
     pub fn cancel(&mut self, code: JobCode, reply: ReplyKey) {
+        if self.closed.get(code).is_some() {
+            let answer = CallerAnswer::Cancelled;
+            self.effects.push(CellEffect::Reply(reply, answer));
+            return;
+        }
         let Some(key) = self.job_keys.get(&code).copied() else {
             log::info!(job:% = code; "cell: an unknown job is to be cancelled");
             let answer = CallerAnswer::Unknown;
@@ -96,12 +126,13 @@
     /// Returns the state of a job; none if there is no such job.
     #[must_use]
     pub fn state(&self, code: JobCode) -> Option<JobShown> {
+        if let Some(closed) = self.closed.get(code) {
+            return Some(closed.end.into());
+        }
         let job = &self.jobs[*self.job_keys.get(&code)?];
         let recorded = job.end.filter(|_| job.end_recorded);
         Some(match recorded {
-            Some(JobEnd::Completed) => JobShown::Completed,
-            Some(JobEnd::Failed) => JobShown::Failed,
-            Some(JobEnd::Cancelled) => JobShown::Cancelled,
+            Some(end) => end.into(),
             None if job.has_started => JobShown::Running,
             None => JobShown::Queued,
         })
@@ -110,6 +141,9 @@
     /// Returns the team of a job; none if there is no such job or team.
     #[must_use]
     pub fn team_of(&self, code: JobCode) -> Option<&str> {
+        if let Some(closed) = self.closed.get(code) {
+            return closed.team.as_deref();
+        }
         let job = &self.jobs[*self.job_keys.get(&code)?];
         job.submission.team.as_deref()
     }
@@ -150,26 +184,4 @@
             self.stop_or_clear(key, index, worker);
         }
     }
-
-    /// Forgets jobs that ended long ago.
-    pub(super) fn expire_jobs(&mut self) {
-        let limit = self.unix_now - self.policy.keep_ended;
-        let is_old = |job: &JobState| {
-            job.end_recorded && job.ended_at < limit && job.ended_at > MilliTime::ZERO
-        };
-        let old: Vec<_> = self.jobs.iter().filter(|(_, job)| is_old(job)).collect();
-        let old: Vec<_> = old.into_iter().map(|(key, job)| (key, job.code)).collect();
-        for (key, code) in old {
-            let has_runs = self
-                .workers
-                .values()
-                .any(|worker| worker.runs.keys().any(|(job, _)| *job == key));
-            if has_runs {
-                continue;
-            }
-            self.jobs.remove(key);
-            self.job_keys.remove(&code);
-            self.expired.push(code);
-        }
-    }
 }
--- a/crates/pimentochute-work/src/cell/records.rs
+++ b/crates/pimentochute-work/src/cell/records.rs
@@ -1,6 +1,7 @@
 //! Batches of records, and what waits for them.
 
 use crate::effect::CellEffect;
+use crate::job::JobOrigin;
 use crate::record::encode_record;
 use crate::{CallerAnswer, JobCode, JobKey, RecordError, ReplyKey, WorkerKey};
 use pimentochute_base::{MilliSpan, MilliTime};
@@ -12,6 +13,8 @@
 pub struct RecordBatch {
     /// The records; a later one replaces an earlier one of the same job.
     pub writes: Vec<RecordWrite>,
+    /// The jobs whose submission in the intake of hosts is not needed any more.
+    pub dropped_intake: Vec<JobCode>,
 }
 
 /// A record of a job.
@@ -21,7 +24,7 @@
     pub job: JobCode,
     /// What the record holds of it.
     pub kind: RecordKind,
-    /// The bytes; empty if the job is forgotten.
+    /// The bytes; empty if the record is dropped.
     pub value: Vec<u8>,
 }
 
@@ -64,6 +67,8 @@
     Reply(ReplyKey, CallerAnswer),
     /// Callers may learn of the end of a job, and its runs are stopped.
     Ended(JobKey),
+    /// Only the end of a job is kept.
+    Closed(JobKey),
 }
 
 impl WorkCell {
@@ -73,6 +78,7 @@
         !(self.dirty.is_empty()
             && self.staged.is_empty()
             && self.expired.is_empty()
+            && self.dropped_intake.is_empty()
             && self.submitted.is_empty())
     }
 
@@ -99,10 +105,23 @@
             let Some(job) = self.jobs.get(key) else {
                 continue;
             };
-            let progress = job.progress(|worker| {
-                let worker = self.workers.get(worker)?;
-                Some((worker.report.id.clone(), worker.report.born))
-            });
+            let progress = if self.is_closing(key) {
+                batch.writes.push(RecordWrite {
+                    job: job.code,
+                    kind: RecordKind::Submission,
+                    value: Vec::new(),
+                });
+                if job.origin == JobOrigin::Host {
+                    batch.dropped_intake.push(job.code);
+                }
+                self.staged.push(StagedAction::Closed(key));
+                job.closing_progress()
+            } else {
+                job.progress(|worker| {
+                    let worker = self.workers.get(worker)?;
+                    Some((worker.report.id.clone(), worker.report.born))
+                })
+            };
             batch.writes.push(RecordWrite {
                 job: job.code,
                 kind: RecordKind::Progress,
@@ -110,13 +129,15 @@
             });
         }
         for job in std::mem::take(&mut self.expired) {
-            for kind in [RecordKind::Submission, RecordKind::Progress] {
-                let value = Vec::new();
-                batch.writes.push(RecordWrite { job, kind, value });
-            }
+            batch.writes.push(RecordWrite {
+                job,
+                kind: RecordKind::Progress,
+                value: Vec::new(),
+            });
         }
+        batch.dropped_intake.append(&mut self.dropped_intake);
         let actions = std::mem::take(&mut self.staged);
-        if batch.writes.is_empty() {
+        if batch.writes.is_empty() && batch.dropped_intake.is_empty() {
             // What needs no record of its own waits for the batches before.
             match self.in_flight.back_mut() {
                 Some(last) => last.actions.extend(actions),
@@ -185,6 +206,7 @@
                         self.stop_runs_of(key);
                     }
                 }
+                StagedAction::Closed(key) => self.close_job(key),
             }
         }
     }
--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -12,6 +12,9 @@
     /// Restores the progress of a submitted job as it is in the log. A run
     /// that may go on keeps its place until its worker has been looked at.
     pub fn restore(&mut self, code: JobCode, progress: JobProgress) {
+        if self.restore_closed(code, &progress) {
+            return;
+        }
         let Some(key) = self.job_keys.get(&code).copied() else {
             log::warn!(job:% = code; "cell: there is progress of a job without a submission");
             return;
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -27,6 +27,9 @@
     pub(crate) end_recorded: bool,
     /// The submission is in the log.
     pub(crate) is_recorded: bool,
+    pub(crate) origin: JobOrigin,
+    /// The runs that workers hold.
+    pub(crate) runs: u32,
     /// A task was started at least once.
     pub(crate) has_started: bool,
     /// How fast the team handed in jobs when this one arrived.
@@ -36,6 +39,15 @@
     per_occurrence: u32,
 }
 
+/// Who recorded a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum JobOrigin {
+    /// The owner of the cell, beside the progress.
+    Owner,
+    /// A host, in its intake; perhaps the owner as well.
+    Host,
+}
+
 /// How fast a team hands in jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -106,6 +118,8 @@
             ended_at: MilliTime::ZERO,
             end_recorded: false,
             is_recorded: true,
+            origin: JobOrigin::Owner,
+            runs: 0,
             has_started: false,
             rate: TeamRate::Within,
             offsets,
@@ -241,6 +255,17 @@
             end: self.end,
             ended_at: self.ended_at,
             tasks: tasks.collect(),
+            team: None,
+        }
+    }
+
+    /// Returns what the log keeps once nothing of the job is left but its end.
+    pub(crate) fn closing_progress(&self) -> JobProgress {
+        JobProgress {
+            end: self.end,
+            ended_at: self.ended_at,
+            tasks: Vec::new(),
+            team: self.submission.team.clone(),
         }
     }
 }
--- a/crates/pimentochute-work/src/record.rs
+++ b/crates/pimentochute-work/src/record.rs
@@ -48,8 +48,11 @@
     pub end: Option<JobEnd>,
     /// When it ended, since the Unix epoch.
     pub ended_at: MilliTime,
-    /// The tasks, by occurrence, step and index.
+    /// The tasks, by occurrence, step and index; none once the job is closed:
+    /// it ended and no worker has anything of it.
     pub tasks: Vec<TaskProgress>,
+    /// The team of a closed job, whose submission is dropped.
+    pub team: Option<String>,
 }
 
 /// How far a task is.
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -226,11 +226,19 @@
         self.report.capacity.saturating_sub(&self.committed)
     }
 
-    pub(crate) fn add_run(&mut self, job: JobKey, task: usize, run: PlacedRun) {
-        if let Some(before) = self.runs.insert((job, task), run) {
+    /// Adds a run; returns the run of the task that it replaces.
+    pub(crate) fn add_run(
+        &mut self,
+        job: JobKey,
+        task: usize,
+        run: PlacedRun,
+    ) -> Option<PlacedRun> {
+        let before = self.runs.insert((job, task), run);
+        if let Some(before) = &before {
             self.committed = self.committed.saturating_sub(&before.need);
         }
         self.committed += run.need;
+        before
     }
 
     pub(crate) fn remove_run(&mut self, job: JobKey, task: usize) -> Option<PlacedRun> {
--- /dev/null
+++ b/tests/tests/work_closed.rs
@@ -0,0 +1,187 @@
+//! Jobs that ended: what the log and the cell keep of them, and what callers
+//! are told.
+
+mod work_support;
+
+use pimentochute_work::{
+    CallerAnswer, CellEffect, EndedRow, JobCode, JobEnd, JobProgress, JobShown, RecordBatch,
+    RecordKind, ReplyKey, RunEnd, WorkerListing, decode_record,
+};
+use work_support::{PLAIN, TEAM, TestCell, TestEffects, job, submission};
+
+const JOB: JobCode = JobCode::new(1);
+const LONG: u64 = 140_000;
+
+/// Hands a job in and returns the cell once its only task is done, and the
+/// batch that records the end.
+fn completed(is_from_host: bool) -> (TestCell, RecordBatch) {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    if is_from_host {
+        test.submit(1, PLAIN, job(1, 1_000));
+    } else {
+        let submission = submission(PLAIN, job(1, 1_000), test.now);
+        test.cell.hand_in(JOB, submission, ReplyKey(1));
+    }
+    test.act();
+    let start = test.record().starts.remove(0);
+    test.answer_starts(std::slice::from_ref(&start));
+    test.step(500);
+    let look = test.act().looks.remove(0);
+    let ended = EndedRow {
+        number: 1,
+        task: start.task.to_string(),
+        run: start.run,
+        how: RunEnd::Done,
+        checkpoint: String::new(),
+    };
+    let listing = WorkerListing {
+        ended: vec![ended],
+        ..WorkerListing::default()
+    };
+    test.answer_look(&look, listing);
+    test.act();
+    let batch = test.cell.take_batch().expect("encodes").expect("a batch");
+    (test, batch)
+}
+
+fn progress_in(batch: &RecordBatch) -> JobProgress {
+    let write = batch
+        .writes
+        .iter()
+        .find(|write| write.kind == RecordKind::Progress);
+    decode_record(&write.expect("progress").value).expect("decodes")
+}
+
+fn answers(test: &mut TestCell) -> Vec<CallerAnswer> {
+    let effects = test.cell.take_effects().into_iter();
+    let replies = effects.filter_map(|effect| match effect {
+        CellEffect::Reply(_, answer) => Some(answer),
+        _ => None,
+    });
+    replies.collect()
+}
+
+#[test]
+fn the_record_of_a_completed_job_is_small_and_its_submission_dropped() {
+    let (_, batch) = completed(false);
+    let progress = progress_in(&batch);
+    assert_eq!(progress.end, Some(JobEnd::Completed));
+    assert_eq!(progress.team.as_deref(), Some(TEAM));
+    assert!(progress.tasks.is_empty(), "{progress:?}");
+    let dropped = batch
+        .writes
+        .iter()
+        .filter(|write| write.kind == RecordKind::Submission && write.value.is_empty());
+    assert_eq!(dropped.count(), 1);
+    assert!(batch.dropped_intake.is_empty(), "no host recorded it");
+}
+
+#[test]
+fn the_submission_that_a_host_recorded_is_dropped_as_well() {
+    let (_, batch) = completed(true);
+    assert_eq!(batch.dropped_intake, [JOB]);
+}
+
+#[test]
+fn callers_learn_of_a_closed_job_what_they_would_of_an_open_one() {
+    let (mut test, _) = completed(false);
+    test.cell.batch_recorded();
+    assert_eq!(test.cell.sizes().0, 0);
+    assert_eq!(test.cell.state(JOB), Some(JobShown::Completed));
+    assert_eq!(test.cell.team_of(JOB), Some(TEAM));
+    test.cell.take_effects();
+    let again = submission(PLAIN, job(1, 1_000), test.now);
+    test.cell.hand_in(JOB, again, ReplyKey(2));
+    test.cell.cancel(JOB, ReplyKey(3));
+    let expected = [CallerAnswer::Accepted, CallerAnswer::Cancelled];
+    assert_eq!(answers(&mut test), expected);
+    assert_eq!(test.cell.state(JOB), Some(JobShown::Completed));
+    let effects = test.act();
+    assert!(effects.starts.is_empty(), "{effects:?}");
+}
+
+#[test]
+fn a_new_owner_knows_closed_jobs_and_does_not_run_them() {
+    let (_, batch) = completed(true);
+    let progress = progress_in(&batch);
+    for is_in_intake in [false, true] {
+        let mut test = TestCell::new(2);
+        test.add_workers(1, 4_000);
+        if is_in_intake {
+            // The owner died before it dropped the record of the host.
+            test.submit(1, PLAIN, job(1, 1_000));
+        }
+        test.cell.restore(JOB, progress.clone());
+        assert_eq!(test.cell.state(JOB), Some(JobShown::Completed));
+        assert_eq!(test.cell.team_of(JOB), Some(TEAM));
+        assert_eq!(test.cell.sizes().0, 0);
+        test.act();
+        let batch = test.cell.take_batch().expect("encodes");
+        let dropped = batch.map(|batch| batch.dropped_intake);
+        assert_eq!(dropped, is_in_intake.then(|| vec![JOB]));
+        test.cell.batch_recorded();
+        let effects = TestEffects::from(test.cell.take_effects());
+        assert!(effects.starts.is_empty(), "{effects:?}");
+    }
+}
+
+#[test]
+fn a_record_of_a_host_that_comes_late_does_not_open_a_closed_job() {
+    let (mut test, _) = completed(false);
+    test.cell.batch_recorded();
+    test.submit(1, PLAIN, job(1, 1_000));
+    assert_eq!(test.cell.state(JOB), Some(JobShown::Completed));
+    assert_eq!(test.cell.sizes().0, 0);
+    let batch = test.cell.take_batch().expect("encodes").expect("a batch");
+    assert_eq!(batch.dropped_intake, [JOB]);
+}
+
+#[test]
+fn a_cancelled_job_stays_open_until_its_runs_are_gone() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    test.submit(1, PLAIN, job(1, 1_000));
+    test.act();
+    let start = test.record().starts.remove(0);
+    test.answer_starts(std::slice::from_ref(&start));
+    test.step(500);
+    test.cell.cancel(JOB, ReplyKey(1));
+    let batch = test.cell.take_batch().expect("encodes").expect("a batch");
+    let progress = progress_in(&batch);
+    assert_eq!(progress.end, Some(JobEnd::Cancelled));
+    assert_eq!(progress.tasks.len(), 1, "the run may go on");
+    test.cell.batch_recorded();
+    let effects = test.act();
+    assert_eq!(effects.stops.len(), 1, "{effects:?}");
+    let look = effects.looks.into_iter().next();
+    let look = look.or_else(|| test.act().looks.pop()).expect("a look");
+    let ended = EndedRow {
+        number: 1,
+        task: start.task.to_string(),
+        run: start.run,
+        how: RunEnd::Stopped,
+        checkpoint: String::new(),
+    };
+    let listing = WorkerListing {
+        ended: vec![ended],
+        ..WorkerListing::default()
+    };
+    test.answer_look(&look, listing);
+    let batch = test.cell.take_batch().expect("encodes").expect("a batch");
+    assert!(progress_in(&batch).tasks.is_empty());
+    test.cell.batch_recorded();
+    assert_eq!(test.cell.state(JOB), Some(JobShown::Cancelled));
+}
+
+#[test]
+fn a_closed_job_is_forgotten_after_its_time() {
+    let (mut test, _) = completed(false);
+    test.cell.batch_recorded();
+    test.step(LONG);
+    test.act();
+    assert_eq!(test.cell.state(JOB), None);
+    let batch = test.cell.take_batch().expect("encodes").expect("a batch");
+    assert_eq!(batch.writes.len(), 1, "{batch:?}");
+    assert!(batch.writes[0].value.is_empty());
+}
--- a/tests/tests/work_faults.rs
+++ b/tests/tests/work_faults.rs
@@ -73,6 +73,8 @@
     submissions: BTreeMap<JobCode, JobSubmission>,
     /// The submissions that are in the log.
     recorded: BTreeSet<JobCode>,
+    /// The jobs whose submission was dropped again.
+    dropped: BTreeSet<JobCode>,
     /// The batches on their way to the log, the oldest first.
     writing: VecDeque<RecordBatch>,
     /// The callers who wait for their job to be in the log.
@@ -109,6 +111,7 @@
             log: BTreeMap::new(),
             submissions: BTreeMap::new(),
             recorded: BTreeSet::new(),
+            dropped: BTreeSet::new(),
             writing: VecDeque::new(),
             callers: BTreeMap::new(),
             next_caller: 0,
@@ -158,8 +161,8 @@
             self.split.insert(id, self.now + MilliSpan::new(split));
         }
         self.report_workers();
-        for code in &self.recorded {
-            self.cell.submit(*code, self.submissions[code].clone());
+        for code in self.recorded.difference(&self.dropped) {
+            self.cell.resume(*code, self.submissions[code].clone());
         }
         for (code, progress) in &self.log {
             self.cell.restore(*code, progress.clone());
@@ -434,11 +437,17 @@
     }
 
     fn record(&mut self, batch: &RecordBatch) {
-        for write in batch.writes.iter().filter(|write| !write.value.is_empty()) {
+        for write in &batch.writes {
             match write.kind {
+                RecordKind::Submission if write.value.is_empty() => {
+                    self.dropped.insert(write.job);
+                }
                 RecordKind::Submission => {
                     self.recorded.insert(write.job);
                 }
+                RecordKind::Progress if write.value.is_empty() => {
+                    panic!("{} is forgotten within the day", write.job);
+                }
                 RecordKind::Progress => {
                     let progress = decode_record(&write.value).expect("decodes");
                     self.log.insert(write.job, progress);
