Let a larger host own the cell again after an outage

Change: a host waits longer for larger ones also if the last owner was larger than itself, and an owner leaves the cell to a member with twice its processor after 2 s, at most every 20 s.

Test first: a_small_owner_leaves_the_cell_to_a_larger_host_that_is_back.

--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -270,7 +270,10 @@
         };
         let turn = u64::from(rank.min(MAX_TURNS)) * RANK_TIME.as_millis();
         let mut turn = MilliSpan::new(turn);
-        if self.group.knows_larger_host() {
+        // After an outage the group may not list the larger hosts yet, but the
+        // last owner was chosen among all.
+        let was_larger = self.group.is_larger(&claim.member) || self.group.is_larger(&claim.heir);
+        if was_larger || self.group.knows_larger_host() {
             turn = turn + LARGER_HOST_TIME;
         }
         if claim.member.is_empty() {
--- a/crates/pimentochute-edge/src/members.rs
+++ b/crates/pimentochute-edge/src/members.rs
@@ -17,6 +17,10 @@
 /// watch its owner closely.
 const NEAR_RANKS: u32 = 3;
 
+/// A host with this many times the processor should own the cell instead of a
+/// smaller one.
+const MUCH_LARGER: u32 = 2;
+
 /// The time without a join after which a host is out of the group: four
 /// renewals, and longer than a renewal at a slow log.
 const MEMBER_TTL: MilliSpan = MilliSpan::new(1_200);
@@ -105,12 +109,21 @@
 
     /// Tells whether a larger host is a member.
     pub(crate) fn knows_larger_host(&self) -> bool {
-        let own = MemberName::processor(&self.context.member);
         let state = self.state();
-        state
-            .members
-            .iter()
-            .any(|name| MemberName::processor(name) > own)
+        state.members.iter().any(|name| self.is_larger(name))
+    }
+
+    /// Tells whether a host, as the group names it, is larger than this one.
+    pub(crate) fn is_larger(&self, member: &str) -> bool {
+        MemberName::processor(member) > MemberName::processor(&self.context.member)
+    }
+
+    /// Returns a member that is so much larger than this host that it should
+    /// own the cell instead.
+    pub(crate) fn much_larger_host(&self) -> Option<String> {
+        let own = MemberName::processor(&self.context.member);
+        let best = self.best_other()?;
+        (MemberName::processor(&best) >= own.saturating_mul(MUCH_LARGER)).then_some(best)
     }
 
     /// Returns the other member that should be the next owner: of the largest
--- a/crates/pimentochute-edge/src/owner/run.rs
+++ b/crates/pimentochute-edge/src/owner/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
-use pimentochute_base::{EpochNumber, MilliSpan};
+use pimentochute_base::{EpochNumber, MilliSpan, MilliTime};
 use pimentochute_work::WorkCell;
 use tokio::sync::{Mutex, mpsc};
 use tokio_util::sync::CancellationToken;
@@ -28,6 +28,25 @@
 /// The most batches in a row that a term takes in before it decides.
 const MAX_INPUTS: usize = 256;
 
+/// How long a small host owns the cell before it leaves it to a larger one, so
+/// that what has just started is known to last.
+const SMALL_OWNER_TIME: MilliSpan = MilliSpan::new(2_000);
+
+/// The time between two looks for a larger host.
+const LARGER_CHECK_PAUSE: MilliSpan = MilliSpan::new(500);
+
+/// The time between two such changes on one host.
+const HAND_OVER_PAUSE: MilliSpan = MilliSpan::new(20_000);
+
+/// Why a term ended in good order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum TermEnd {
+    /// The host stops.
+    Stopped,
+    /// A larger host is to own the cell.
+    LeftTo(String),
+}
+
 /// Owns the cell whenever this host has claimed it.
 #[derive(Clone)]
 pub(crate) struct CellOwner {
@@ -44,18 +63,26 @@
 impl CellOwner {
     /// Claims the cell when it has no owner and works on it, until `stop`.
     pub(crate) async fn run(&self, stop: CancellationToken) {
+        let mut handed_over: Option<MilliTime> = None;
         while let Some(epoch) = self.claims.acquire(&stop).await {
+            let now = self.context.clock.now();
+            let may_hand_over = handed_over.is_none_or(|at| now.since(at) > HAND_OVER_PAUSE);
             log::info!(epoch:%; "owner: a term begins");
             self.desk.begin_term();
             self.context.counters.term_began();
-            let result = self.work(epoch, &stop).await;
+            let result = self.work(epoch, may_hand_over, &stop).await;
             self.desk.end_term();
             self.context.counters.show_cell(0, 0, 0);
             match result {
-                Ok(()) => {
+                Ok(TermEnd::Stopped) => {
                     log::info!(epoch:%; "owner: a term ends by the stop of the host");
                     self.claims.release(epoch, self.group.best_other()).await;
                 }
+                Ok(TermEnd::LeftTo(heir)) => {
+                    log::info!(epoch:%, heir:%; "owner: a term ends for a larger host");
+                    handed_over = Some(self.context.clock.now());
+                    self.claims.release(epoch, Some(heir)).await;
+                }
                 Err(error) => log::warn!(epoch:%, error:%; "owner: a term ends"),
             }
         }
@@ -78,14 +105,19 @@
         }
     }
 
-    async fn work(&self, epoch: EpochNumber, stop: &CancellationToken) -> Result<(), StoreError> {
+    async fn work(
+        &self,
+        epoch: EpochNumber,
+        may_hand_over: bool,
+        stop: &CancellationToken,
+    ) -> Result<TermEnd, StoreError> {
         let mut config = self.config.subscribe();
         let first = tokio::select! {
-            () = stop.cancelled() => return Ok(()),
+            () = stop.cancelled() => return Ok(TermEnd::Stopped),
             first = config.wait_for(Option::is_some) => first.map(|first| first.clone()),
         };
         let Ok(Some(first)) = first else {
-            return Ok(());
+            return Ok(TermEnd::Stopped);
         };
         load::fence_log(&self.context, epoch.get()).await?;
         let clock = &self.context.clock;
@@ -108,10 +140,11 @@
         let mut term = OwnerTerm::new(self.clone(), cell, epoch, events);
         term.inputs = Some(inputs);
         term.intake_next = intake_next;
+        let mut next_check = clock.now() + SMALL_OWNER_TIME;
         loop {
             let due = term.next_due().since(clock.now());
             let event = tokio::select! {
-                () = stop.cancelled() => return Ok(()),
+                () = stop.cancelled() => return Ok(TermEnd::Stopped),
                 event = inbox.recv() => event,
                 input = questions.recv() => input.map(TermEvent::Input),
                 changed = claims.changed() => {
@@ -144,6 +177,12 @@
             if term.cell.is_deposed() {
                 return Err(StoreError::Fenced);
             }
+            if may_hand_over && clock.now() >= next_check {
+                next_check = clock.now() + LARGER_CHECK_PAUSE;
+                if let Some(heir) = self.group.much_larger_host() {
+                    return Ok(TermEnd::LeftTo(heir));
+                }
+            }
         }
     }
 
--- a/tests/src/edge_cell.rs
+++ b/tests/src/edge_cell.rs
@@ -55,17 +55,24 @@
 }
 
 impl EdgeCell {
-    /// Starts `count` hosts.
+    /// Starts `count` hosts of one size.
     #[must_use]
     pub fn start(platform: &EdgePlatform, count: usize) -> Self {
+        Self::start_sized(platform, &vec![1.0; count])
+    }
+
+    /// Starts hosts with these processors, in cores.
+    #[must_use]
+    pub fn start_sized(platform: &EdgePlatform, processors: &[f64]) -> Self {
         let mut cell = Self {
             platform: platform.clone(),
             hosts: Vec::new(),
             client: HttpClient::new(CALL_TIMEOUT, 1024 * 1024),
         };
-        for index in 0..count {
+        for (index, processor) in processors.iter().enumerate() {
             let name = format!("host-{index}");
-            let settings = settings(&name);
+            let mut settings = settings(&name);
+            settings.processor = *processor;
             cell.hosts.push(EdgeHost {
                 name,
                 settings,
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -346,3 +346,32 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_small_owner_leaves_the_cell_to_a_larger_host_that_is_back() {
+    print_logs();
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    platform.write_config(&config(1, KEY));
+    let mut cell = EdgeCell::start_sized(&platform, &[0.12, 0.5]);
+    until("the larger host owns the cell", 5, async || {
+        cell.owner() == Some(1)
+    })
+    .await;
+    cell.kill(1);
+    until("the small host owns the cell", 5, async || {
+        cell.owner() == Some(0)
+    })
+    .await;
+    assert_eq!(submit(&cell, 0, 1).await.status, 200);
+    cell.start_host(1);
+    until("the larger host owns the cell again", 6, async || {
+        cell.owner() == Some(1)
+    })
+    .await;
+    for host in [0, 1] {
+        until("the job is completed", 5, async || {
+            is_completed(&cell, host, 1).await
+        })
+        .await;
+    }
+}
