Never append a batch without records

A new owner (41.2 s) had only submissions of hosts to drop, and its batch held no record. The log takes an append with an empty body for the beginning of an epoch: the numbers that follow may start anywhere, so a batch that came before an earlier one took the earlier one's place. The owner counted both as recorded, and what they held was gone after the loss of power at 41.6 s.

Change: drops in the intake wait for a batch with records.

Ruled out: reading of the records in pages (the list of loaded jobs ends early in the log of that host because its log lines were dropped in the burst, as counted), the copies of records (the new owner had just started).

Conclusion: a batch holds at least one record, as its comment now says.

--- a/crates/pimentochute-work/src/cell/records.rs
+++ b/crates/pimentochute-work/src/cell/records.rs
@@ -11,9 +11,12 @@
 /// Records that go to the log in one call.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RecordBatch {
-    /// The records; a later one replaces an earlier one of the same job.
+    /// The records, at least one; a later one replaces an earlier one of the
+    /// same job and kind.
     pub writes: Vec<RecordWrite>,
     /// The jobs whose submission in the intake of hosts is not needed any more.
+    /// They wait for a batch with records: the log takes an append without
+    /// records for the beginning of an epoch and forgets its numbers.
     pub dropped_intake: Vec<JobCode>,
 }
 
@@ -78,7 +81,6 @@
         !(self.dirty.is_empty()
             && self.staged.is_empty()
             && self.expired.is_empty()
-            && self.dropped_intake.is_empty()
             && self.submitted.is_empty())
     }
 
@@ -135,9 +137,8 @@
                 value: Vec::new(),
             });
         }
-        batch.dropped_intake.append(&mut self.dropped_intake);
         let actions = std::mem::take(&mut self.staged);
-        if batch.writes.is_empty() && batch.dropped_intake.is_empty() {
+        if batch.writes.is_empty() {
             // What needs no record of its own waits for the batches before.
             match self.in_flight.back_mut() {
                 Some(last) => last.actions.extend(actions),
@@ -145,6 +146,7 @@
             }
             return Ok(None);
         }
+        batch.dropped_intake.append(&mut self.dropped_intake);
         self.in_flight.push_back(BatchInFlight {
             taken: self.now,
             actions,
