Start all members of a gang from one checkpoint

Cause: each member carried the checkpoint that its own worker had listed last. Looks at the workers are not simultaneous, so that members could start from different ones, and a gang takes only one and the same.

Change: the furthest checkpoint of any member since the last start is kept for the gang; the next start gives it to all.

Test first: all_members_of_a_gang_go_on_from_the_furthest_checkpoint ("early" instead of "late").

--- a/crates/pimentochute-work/src/cell/ends.rs
+++ b/crates/pimentochute-work/src/cell/ends.rs
@@ -11,6 +11,9 @@
 /// A worker that fails this many runs in a row is left alone for a while.
 const FAILURES_TO_AVOID: u32 = 2;
 
+/// The checkpoint at the end of a run is the furthest, in percent.
+const AT_THE_END: u32 = 100;
+
 impl WorkCell {
     /// Applies the ends that a worker lists and that were not applied before.
     pub(super) fn apply_ends(&mut self, key: WorkerKey, rows: &[EndedRow]) {
@@ -61,10 +64,7 @@
         if !is_here && !is_late_success {
             return;
         }
-        let task = &mut self.jobs[job_key].tasks[index];
-        if !row.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&row.checkpoint);
-        }
+        self.note_checkpoint(job_key, index, &row.checkpoint, AT_THE_END);
         self.dirty.insert(job_key);
         if is_here {
             self.unplace(job_key, index, key);
--- a/crates/pimentochute-work/src/cell/gang.rs
+++ b/crates/pimentochute-work/src/cell/gang.rs
@@ -14,6 +14,47 @@
         }
     }
 
+    /// Notes the checkpoint of a run that was `percent` far; empty is none. The
+    /// members of a gang go on from the same one.
+    pub(super) fn note_checkpoint(
+        &mut self,
+        job_key: JobKey,
+        index: usize,
+        checkpoint: &str,
+        percent: u32,
+    ) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let job = &mut self.jobs[job_key];
+        let step_index = job.step_index(job.name_of(index));
+        if !job.step_spec(step_index).is_gang {
+            checkpoint.clone_into(&mut job.tasks[index].checkpoint);
+            return;
+        }
+        let known = &mut job.steps[step_index].gang_checkpoint;
+        if known.value.is_empty() || percent >= known.percent {
+            checkpoint.clone_into(&mut known.value);
+            known.percent = percent;
+        }
+    }
+
+    /// Gives all members of a gang that starts the same checkpoint: the
+    /// furthest of its last run, or the one from which that run started.
+    pub(super) fn share_checkpoint(&mut self, job_key: JobKey, step_index: usize) {
+        let job = &mut self.jobs[job_key];
+        let members = job.task_range(step_index);
+        let known = std::mem::take(&mut job.steps[step_index].gang_checkpoint);
+        let shared = if known.value.is_empty() {
+            job.tasks[members.start].checkpoint.clone()
+        } else {
+            known.value
+        };
+        for task in &mut job.tasks[members] {
+            task.checkpoint.clone_from(&shared);
+        }
+    }
+
     /// Stops the other members after one of them ended without being done.
     pub(super) fn break_gang(&mut self, job_key: JobKey, index: usize) {
         let job = &self.jobs[job_key];
--- a/crates/pimentochute-work/src/cell/looks.rs
+++ b/crates/pimentochute-work/src/cell/looks.rs
@@ -187,15 +187,13 @@
         let Some((job_key, index)) = self.find_task(&row.task) else {
             return false;
         };
-        let job = &mut self.jobs[job_key];
-        let task = &mut job.tasks[index];
+        let job = &self.jobs[job_key];
+        let task = &job.tasks[index];
         if task.spot != TaskSpot::Placed(key) || task.run != row.run {
             return false;
         }
-        if !row.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&row.checkpoint);
-        }
         let ended = job.end.is_some();
+        self.note_checkpoint(job_key, index, &row.checkpoint, row.percent);
         let now = self.now;
         let Some(run) = self.workers[key].runs.get_mut(&(job_key, index)) else {
             return false;
--- a/crates/pimentochute-work/src/cell/place.rs
+++ b/crates/pimentochute-work/src/cell/place.rs
@@ -184,6 +184,7 @@
         spec: &StepSpec,
         rows: &[StepWorker],
     ) {
+        self.share_checkpoint(job_key, step_index);
         let members = self.jobs[job_key].task_range(step_index);
         let last = self.jobs[job_key].tasks[members.clone()]
             .iter()
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -78,6 +78,15 @@
     Done,
 }
 
+/// A checkpoint of a gang.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct GangCheckpoint {
+    /// Empty if there is none.
+    pub(crate) value: String,
+    /// How far the member was that reported it, in percent.
+    pub(crate) percent: u32,
+}
+
 /// A step of one occurrence.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StepState {
@@ -88,6 +97,9 @@
     pub(crate) advice: AdviceState,
     /// The last run of the gang whose failure was counted.
     pub(crate) failed_run: u32,
+    /// The furthest checkpoint of any member since the gang last started. It
+    /// is valid for all, and the next start carries it for each of them.
+    pub(crate) gang_checkpoint: GangCheckpoint,
 }
 
 impl JobState {
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -390,3 +390,56 @@
     assert_eq!(looks.len(), 1, "one look: {looks:?}");
     assert!(waited.as_millis() <= 125, "the look came after {waited}");
 }
+
+#[test]
+fn all_members_of_a_gang_go_on_from_the_furthest_checkpoint() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 1_000);
+    let mut spec = gang(2, 1_000);
+    spec.steps[0].has_checkpoints = true;
+    test.submit(1, PLAIN, spec);
+    test.act();
+    let starts = test.record().starts;
+    assert!(starts.iter().all(|start| start.checkpoint.is_empty()));
+    test.answer_starts(&starts);
+    test.step(500);
+    // One member is listed before, the other after a checkpoint.
+    for look in test.act().looks {
+        let start = starts.iter().find(|start| start.worker == look.worker);
+        let start = start.expect("a member runs there");
+        let (checkpoint, percent) = if start.task.index == 0 {
+            ("early", 10)
+        } else {
+            ("late", 30)
+        };
+        let mut row = running(start, percent);
+        row.checkpoint = checkpoint.to_owned();
+        let listing = WorkerListing {
+            running: vec![row],
+            ..WorkerListing::default()
+        };
+        test.answer_look(&look, listing);
+    }
+    test.step(500);
+    // The first member fails, and the other one is broken.
+    for look in test.act().looks {
+        let start = starts.iter().find(|start| start.worker == look.worker);
+        let start = start.expect("a member runs there");
+        let how = if start.task.index == 0 {
+            RunEnd::Failed
+        } else {
+            RunEnd::Broken
+        };
+        let listing = WorkerListing {
+            ended: vec![ended(start, 1, how)],
+            ..WorkerListing::default()
+        };
+        test.answer_look(&look, listing);
+    }
+    test.act();
+    let again = test.record().starts;
+    assert_eq!(again.len(), 2, "{again:?}");
+    for start in again {
+        assert_eq!(start.checkpoint, "late", "of {}", start.task);
+    }
+}
