Count failed runs as work when jobs are ranked

By the logs most gangs that broke did so by the failure of one member (62 of 112), and they went on 20 to 40 s later: the time of the failed run made the job look late, and late jobs go behind all that can still be on time. By the users' rules the objective grows with runs that fail by the task's own fault.

Change: the time of failed runs, the longest of a step, counts as work of the job in its objective.

Test first: work_rank, a_job_whose_run_failed_goes_on_before_later_ones.

Not kept over a change of owner.

--- a/crates/pimentochute-work/src/cell/ends.rs
+++ b/crates/pimentochute-work/src/cell/ends.rs
@@ -66,6 +66,9 @@
         }
         self.note_checkpoint(job_key, index, &row.checkpoint, AT_THE_END);
         self.dirty.insert(job_key);
+        if row.how == RunEnd::Failed {
+            self.note_failed_time(job_key, index, key);
+        }
         if is_here {
             self.unplace(job_key, index, key);
         }
@@ -83,6 +86,20 @@
         self.note_waiting(job_key);
     }
 
+    /// Counts the time of a failed run, which its job may take in addition.
+    fn note_failed_time(&mut self, job_key: JobKey, index: usize, key: WorkerKey) {
+        let run = self.workers[key].runs.get(&(job_key, index));
+        let Some(started) = run.and_then(|run| run.answered_at) else {
+            return;
+        };
+        let job = &mut self.jobs[job_key];
+        let step_index = job.step_index(job.name_of(index));
+        let task = &mut job.tasks[index];
+        task.failed_time = task.failed_time + self.now.since(started);
+        let longest = &mut job.steps[step_index].failed_time;
+        *longest = (*longest).max(task.failed_time);
+    }
+
     fn task_done(&mut self, job_key: JobKey, index: usize, key: WorkerKey) {
         self.workers[key].failures = 0;
         let job = &mut self.jobs[job_key];
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -63,6 +63,8 @@
 pub(crate) struct TaskState {
     pub(crate) run: u32,
     pub(crate) failures: u32,
+    /// What the failed runs took.
+    pub(crate) failed_time: MilliSpan,
     pub(crate) spot: TaskSpot,
     pub(crate) checkpoint: String,
     /// The worker of the last failed run, which is avoided.
@@ -97,6 +99,8 @@
     pub(crate) advice: AdviceState,
     /// The last run of the gang whose failure was counted.
     pub(crate) failed_run: u32,
+    /// What the failed runs of any one task took at most.
+    pub(crate) failed_time: MilliSpan,
     /// The furthest checkpoint of any member since the gang last started. It
     /// is valid for all, and the next start carries it for each of them.
     pub(crate) gang_checkpoint: GangCheckpoint,
@@ -213,8 +217,10 @@
     }
 
     /// Returns the time until which a job is on time, since the Unix epoch.
+    /// Runs that failed count as work of the job.
     pub(crate) fn objective(&self, terms: &QueueTerms) -> MilliTime {
-        let chain = self.submission.spec.chain().as_millis();
+        let failed = self.steps.iter().map(|step| step.failed_time.as_millis());
+        let chain = self.submission.spec.chain().as_millis() + failed.sum::<u64>();
         let work = chain.saturating_mul(terms.stretch_permille) / 1_000;
         self.submission.received + MilliSpan::new(work) + terms.target_latency
     }
--- /dev/null
+++ b/tests/tests/work_rank.rs
@@ -0,0 +1,37 @@
+//! Who goes first while there is less room than work.
+
+mod work_support;
+
+use pimentochute_work::{EndedRow, RunEnd, WorkerListing};
+use work_support::{PLAIN, TestCell, job};
+
+#[test]
+fn a_job_whose_run_failed_goes_on_before_later_ones() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 1_000);
+    test.submit(1, PLAIN, job(1, 1_000));
+    test.act();
+    let start = test.record().starts.remove(0);
+    test.answer_starts(std::slice::from_ref(&start));
+    // The run fails at 2.5 s. Without it the job would have had 3 s for its
+    // second of work, with it three times as much.
+    test.step(2_400);
+    test.submit(2, PLAIN, job(1, 1_000));
+    let look = test.act().looks.remove(0);
+    let failed = EndedRow {
+        number: 1,
+        task: start.task.to_string(),
+        run: start.run,
+        how: RunEnd::Failed,
+        checkpoint: String::new(),
+    };
+    let listing = WorkerListing {
+        ended: vec![failed],
+        ..WorkerListing::default()
+    };
+    test.answer_look(&look, listing);
+    test.act();
+    let next = test.record().starts;
+    let jobs: Vec<_> = next.iter().map(|start| start.task.job).collect();
+    assert_eq!(jobs, [start.task.job], "{next:?}");
+}
