Do not stop gang members that ended with their gang

Change: such a run keeps its room until its worker lists the end.

Test first: members_that_end_with_their_gang_are_not_stopped.

--- a/crates/pimentochute-work/src/cell/gang.rs
+++ b/crates/pimentochute-work/src/cell/gang.rs
@@ -1,7 +1,7 @@
 //! Gangs: their tasks start together, end together and fail together.
 
-use crate::JobKey;
 use crate::job::TaskSpot;
+use crate::{JobKey, WorkerKey};
 
 use super::WorkCell;
 
@@ -14,6 +14,23 @@
         }
     }
 
+    /// Tells whether a listed run is one that ended with its gang: another
+    /// member's end was heard first, and the worker lists its own next.
+    pub(super) fn has_ended_with_gang(
+        &self,
+        job_key: JobKey,
+        index: usize,
+        key: WorkerKey,
+        run: u32,
+    ) -> bool {
+        let job = &self.jobs[job_key];
+        let is_gang = job.step_spec(job.step_index(job.name_of(index))).is_gang;
+        let held = self.workers[key].runs.get(&(job_key, index));
+        is_gang
+            && job.tasks[index].spot == TaskSpot::Done
+            && held.is_some_and(|held| held.run == run && held.stop_sent.is_none())
+    }
+
     /// Notes the checkpoint of a run that was `percent` far; empty is none. The
     /// members of a gang go on from the same one.
     pub(super) fn note_checkpoint(
--- a/crates/pimentochute-work/src/cell/looks.rs
+++ b/crates/pimentochute-work/src/cell/looks.rs
@@ -187,6 +187,9 @@
         let Some((job_key, index)) = self.find_task(&row.task) else {
             return false;
         };
+        if self.has_ended_with_gang(job_key, index, key, row.run) {
+            return true;
+        }
         let job = &self.jobs[job_key];
         let task = &job.tasks[index];
         if task.spot != TaskSpot::Placed(key) || task.run != row.run {
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -443,3 +443,41 @@
         assert_eq!(start.checkpoint, "late", "of {}", start.task);
     }
 }
+
+#[test]
+fn members_that_end_with_their_gang_are_not_stopped() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 1_000);
+    test.submit(1, PLAIN, gang(2, 1_000));
+    test.act();
+    let starts = test.record().starts;
+    test.answer_starts(&starts);
+    test.step(500);
+    // One worker tells the end, the listing of the other is from before it.
+    let looks = test.act().looks;
+    assert_eq!(looks.len(), 2, "{looks:?}");
+    for look in looks {
+        let start = starts.iter().find(|start| start.worker == look.worker);
+        let start = start.expect("a member runs there");
+        let listing = if start.task.index == 0 {
+            WorkerListing {
+                ended: vec![ended(start, 1, RunEnd::Done)],
+                ..WorkerListing::default()
+            }
+        } else {
+            WorkerListing {
+                running: vec![running(start, 99)],
+                ..WorkerListing::default()
+            }
+        };
+        test.answer_look(&look, listing);
+    }
+    let effects = test.act();
+    assert!(effects.stops.is_empty(), "{:?}", effects.stops);
+    let effects = test.record();
+    assert!(effects.stops.is_empty(), "{:?}", effects.stops);
+    // The room counts as taken until the worker lists the end.
+    test.submit(2, PLAIN, job(2, 1_000));
+    test.act();
+    assert_eq!(test.record().starts.len(), 1);
+}
