Drop the record of a host only after the end of its job is in the log

When a job closes, the record by which a host took it in is dropped by a call of its own, which went out beside the batch with the job's end. If that batch does not reach the log and the owner dies, neither record is left.

Change: the drop is an effect of the batch's acknowledgement (DropIntake). Batches hold only records again.

The store of tests forgets the numbers of an epoch at an append without records, as the platform does.

--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -65,6 +65,8 @@
     sequence: u64,
     events: mpsc::Sender<TermEvent>,
     replies: BTreeMap<ReplyKey, oneshot::Sender<OwnerAnswer>>,
+    /// The closed jobs whose records in the intake are to be dropped.
+    dropped: Vec<JobCode>,
     next_reply: u64,
     /// The number of the last append that is known to be in the log.
     recorded: u64,
@@ -98,6 +100,7 @@
             sequence: 1,
             events,
             replies: BTreeMap::new(),
+            dropped: Vec::new(),
             next_reply: 0,
             recorded: 0,
             failing: false,
@@ -252,6 +255,7 @@
                 self.carry_out(effect);
             }
         }
+        self.drop_submissions();
         self.write_next()
     }
 
@@ -329,6 +333,7 @@
                 TermEvent::Looked(command, result)
             }),
             CellEffect::Ask(command) => self.ask(command),
+            CellEffect::DropIntake(job) => self.dropped.push(job),
             CellEffect::Reply(key, answer) => {
                 if let Some(reply) = self.replies.remove(&key) {
                     send_reply(reply, OwnerAnswer::from(answer));
@@ -369,9 +374,6 @@
     fn write(&mut self, batch: RecordBatch) {
         let sequence = self.sequence;
         self.sequence += 1;
-        if !batch.dropped_intake.is_empty() {
-            self.drop_submissions(&batch.dropped_intake);
-        }
         let writer = BatchWriter {
             context: self.owner.context.clone(),
             events: self.events.clone(),
@@ -383,7 +385,11 @@
     }
 
     /// Drops the submissions of closed jobs that hosts recorded themselves.
-    fn drop_submissions(&self, jobs: &[JobCode]) {
+    fn drop_submissions(&mut self) {
+        let jobs = std::mem::take(&mut self.dropped);
+        if jobs.is_empty() {
+            return;
+        }
         let store = Arc::clone(&self.owner.context.ports.store);
         let records = jobs.iter().map(|job| KeyedRecord {
             key: job.to_string(),
--- a/crates/pimentochute-measure/src/cell_cost/play.rs
+++ b/crates/pimentochute-measure/src/cell_cost/play.rs
@@ -253,7 +253,7 @@
                 let wait = command.wait.as_millis();
                 self.at(self.now + wait, PlayEvent::Advised(command));
             }
-            CellEffect::Stop(_) | CellEffect::Reply(..) => {}
+            CellEffect::Stop(_) | CellEffect::DropIntake(_) | CellEffect::Reply(..) => {}
         }
     }
 
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -90,8 +90,6 @@
     dirty: BTreeSet<JobKey>,
     /// Jobs that are to be forgotten.
     expired: Vec<JobCode>,
-    /// Jobs that closed and whose submission a host recorded itself.
-    dropped_intake: Vec<JobCode>,
     /// What happens once the next batch is in the log.
     staged: Vec<StagedAction>,
     /// The batches on their way to the log, the oldest first.
@@ -137,7 +135,6 @@
             submitted: Vec::new(),
             dirty: BTreeSet::new(),
             expired: Vec::new(),
-            dropped_intake: Vec::new(),
             staged: Vec::new(),
             in_flight: VecDeque::new(),
             effects: Vec::new(),
--- a/crates/pimentochute-work/src/cell/closed.rs
+++ b/crates/pimentochute-work/src/cell/closed.rs
@@ -5,6 +5,8 @@
 
 use pimentochute_base::MilliTime;
 
+use crate::effect::CellEffect;
+use crate::job::JobOrigin;
 use crate::{JobCode, JobEnd, JobKey, JobProgress};
 
 use super::WorkCell;
@@ -67,7 +69,8 @@
         job.is_some_and(|job| job.end.is_some() && job.runs == 0)
     }
 
-    /// Keeps only the end of a job; that is in the log.
+    /// Keeps only the end of a job, which is in the log. Only now the record
+    /// of the host that took the job in is not needed any more.
     pub(super) fn close_job(&mut self, key: JobKey) {
         if !self.is_closing(key) {
             return;
@@ -76,6 +79,9 @@
             return;
         };
         self.job_keys.remove(&job.code);
+        if job.origin == JobOrigin::Host {
+            self.effects.push(CellEffect::DropIntake(job.code));
+        }
         let Some(end) = job.end else { return };
         let closed = ClosedJob {
             end,
@@ -95,7 +101,7 @@
             self.jobs.remove(key);
             self.backlog.remove(&key);
             self.open_jobs -= 1;
-            self.dropped_intake.push(code);
+            self.effects.push(CellEffect::DropIntake(code));
         }
         self.closed.insert(code, closed);
         true
--- a/crates/pimentochute-work/src/cell/jobs.rs
+++ b/crates/pimentochute-work/src/cell/jobs.rs
@@ -69,7 +69,7 @@
     /// is.
     pub fn submit(&mut self, code: JobCode, submission: JobSubmission) {
         if self.closed.get(code).is_some() {
-            self.dropped_intake.push(code);
+            self.effects.push(CellEffect::DropIntake(code));
             return;
         }
         let known = self.job_keys.get(&code).copied();
--- a/crates/pimentochute-work/src/cell/records.rs
+++ b/crates/pimentochute-work/src/cell/records.rs
@@ -1,7 +1,6 @@
 //! Batches of records, and what waits for them.
 
 use crate::effect::CellEffect;
-use crate::job::JobOrigin;
 use crate::record::encode_record;
 use crate::{CallerAnswer, JobCode, JobKey, RecordError, ReplyKey, WorkerKey};
 use pimentochute_base::{MilliSpan, MilliTime};
@@ -11,13 +10,10 @@
 /// Records that go to the log in one call.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RecordBatch {
-    /// The records, at least one; a later one replaces an earlier one of the
-    /// same job and kind.
+    /// The records, at least one: the log takes an append without records for
+    /// the beginning of an epoch and forgets its numbers. A later record
+    /// replaces an earlier one of the same job and kind.
     pub writes: Vec<RecordWrite>,
-    /// The jobs whose submission in the intake of hosts is not needed any more.
-    /// They wait for a batch with records: the log takes an append without
-    /// records for the beginning of an epoch and forgets its numbers.
-    pub dropped_intake: Vec<JobCode>,
 }
 
 /// A record of a job.
@@ -113,9 +109,6 @@
                     kind: RecordKind::Submission,
                     value: Vec::new(),
                 });
-                if job.origin == JobOrigin::Host {
-                    batch.dropped_intake.push(job.code);
-                }
                 self.staged.push(StagedAction::Closed(key));
                 job.closing_progress()
             } else {
@@ -146,7 +139,6 @@
             }
             return Ok(None);
         }
-        batch.dropped_intake.append(&mut self.dropped_intake);
         self.in_flight.push_back(BatchInFlight {
             taken: self.now,
             actions,
--- a/crates/pimentochute-work/src/effect.rs
+++ b/crates/pimentochute-work/src/effect.rs
@@ -6,7 +6,7 @@
 use pimentochute_base::{MilliSpan, MilliTime};
 use strum::IntoStaticStr;
 
-use crate::{AdviceCost, StepName, TaskName, WorkerKey, WorkerTarget};
+use crate::{AdviceCost, JobCode, StepName, TaskName, WorkerKey, WorkerTarget};
 
 /// Something that the cell wants done outside.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     Look(LookCommand),
     /// Ask which workers may run a step.
     Ask(AdviceCommand),
+    /// Drop the record by which a host took a job in.
+    DropIntake(JobCode),
     /// Answer a caller who handed in or cancelled a job.
     Reply(ReplyKey, CallerAnswer),
 }
--- a/tests/src/edge_cell.rs
+++ b/tests/src/edge_cell.rs
@@ -10,7 +10,7 @@
 use pimentochute_adapter::JsonCodec;
 use pimentochute_base::{MilliClock, MilliSpan};
 use pimentochute_edge::{EdgePorts, EdgeSettings, PlatformCodec as _};
-use pimentochute_platform::{HttpCall, HttpClient};
+use pimentochute_platform::{CallError, HttpCall, HttpClient, HttpReply};
 use pimentochute_work::{JobSubmission, QueueTerms, encode_record};
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
@@ -185,16 +185,35 @@
 
     /// Asks the load balancer's question.
     pub async fn is_ready(&self, index: usize) -> bool {
+        let reply = self.check(index, "/readiness").await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    }
+
+    /// Returns the metrics of a host as text; none if it does not answer.
+    pub async fn metrics(&self, index: usize) -> String {
+        let reply = self.check(index, "/metrics").await;
+        reply.map_or_else(
+            |error| format!("no metrics: {error}"),
+            |reply| String::from_utf8_lossy(&reply.body).into_owned(),
+        )
+    }
+
+    /// Returns where a host takes calls of callers.
+    #[must_use]
+    pub fn callers(&self, index: usize) -> SocketAddr {
+        self.hosts[index].settings.listen.callers
+    }
+
+    async fn check(&self, index: usize, path: &str) -> Result<HttpReply, CallError> {
         let call = HttpCall {
             method: Method::GET,
-            path: "/readiness".to_owned(),
+            path: path.to_owned(),
             body: Bytes::new(),
             wait: MilliSpan::ZERO,
             headers: HeaderMap::new(),
         };
         let address = self.hosts[index].settings.listen.checks;
-        let reply = self.client.call_at(address, call).await;
-        reply.is_ok_and(|reply| reply.status.is_success())
+        self.client.call_at(address, call).await
     }
 }
 
--- a/tests/src/edge_platform.rs
+++ b/tests/src/edge_platform.rs
@@ -46,7 +46,7 @@
     topics: BTreeMap<String, Vec<KeyedRecord>>,
     /// The epoch, the last number and the end of its append, by topic and
     /// writer.
-    writers: BTreeMap<(String, String), (u64, u64, u64)>,
+    writers: BTreeMap<(String, String), (u64, Option<u64>, u64)>,
     /// When each member of the only group joined last, and its time to live.
     members: BTreeMap<String, (MilliTime, MilliSpan)>,
     generation: u64,
@@ -217,7 +217,9 @@
             let known = self.writers.get(&key).copied();
             match known {
                 Some((epoch, ..)) if stamp.epoch < epoch => return Err(StoreError::Fenced),
-                Some((epoch, last, end)) if stamp.epoch == epoch && !call.records.is_empty() => {
+                Some((epoch, Some(last), end))
+                    if stamp.epoch == epoch && !call.records.is_empty() =>
+                {
                     if stamp.sequence == last {
                         return Ok(end);
                     }
@@ -228,7 +230,10 @@
                 _ => {}
             }
             let end = end + call.records.len() as u64;
-            self.writers.insert(key, (stamp.epoch, stamp.sequence, end));
+            // Without records, an append only begins an epoch, and the next
+            // one decides where its numbers start.
+            let last = (!call.records.is_empty()).then_some(stamp.sequence);
+            self.writers.insert(key, (stamp.epoch, last, end));
         }
         let topic = self.topic(&call.topic);
         topic.extend(call.records);
--- a/tests/tests/work_closed.rs
+++ b/tests/tests/work_closed.rs
@@ -7,6 +7,7 @@
     CallerAnswer, CellEffect, EndedRow, JobCode, JobEnd, JobProgress, JobShown, RecordBatch,
     RecordKind, ReplyKey, RunEnd, WorkerListing, decode_record,
 };
+use test_case::test_case;
 use work_support::{PLAIN, TEAM, TestCell, TestEffects, job, submission};
 
 const JOB: JobCode = JobCode::new(1);
@@ -53,15 +54,6 @@
     decode_record(&write.expect("progress").value).expect("decodes")
 }
 
-/// Hands another job in and returns the batch with it.
-fn next_batch(test: &mut TestCell) -> RecordBatch {
-    let submission = submission(PLAIN, job(1, 100_000), test.now);
-    test.cell.hand_in(JobCode::new(2), submission, ReplyKey(9));
-    let batch = test.cell.take_batch().expect("encodes").expect("a batch");
-    assert!(!batch.writes.is_empty());
-    batch
-}
-
 fn answers(test: &mut TestCell) -> Vec<CallerAnswer> {
     let effects = test.cell.take_effects().into_iter();
     let replies = effects.filter_map(|effect| match effect {
@@ -83,13 +75,21 @@
         .iter()
         .filter(|write| write.kind == RecordKind::Submission && write.value.is_empty());
     assert_eq!(dropped.count(), 1);
-    assert!(batch.dropped_intake.is_empty(), "no host recorded it");
 }
 
-#[test]
-fn the_submission_that_a_host_recorded_is_dropped_as_well() {
-    let (_, batch) = completed(true);
-    assert_eq!(batch.dropped_intake, [JOB]);
+#[test_case(true; "a host recorded the job")]
+#[test_case(false; "the owner recorded the job")]
+fn the_record_of_a_host_is_dropped_once_the_end_is_in_the_log(is_from_host: bool) {
+    let (mut test, _) = completed(is_from_host);
+    let before = test.act();
+    assert!(
+        before.dropped.is_empty(),
+        "the job would be lost: {before:?}"
+    );
+    test.cell.batch_recorded();
+    let effects = test.act();
+    let expected = if is_from_host { vec![JOB] } else { Vec::new() };
+    assert_eq!(effects.dropped, expected);
 }
 
 #[test]
@@ -125,12 +125,11 @@
         assert_eq!(test.cell.state(JOB), Some(JobShown::Completed));
         assert_eq!(test.cell.team_of(JOB), Some(TEAM));
         assert_eq!(test.cell.sizes().0, 0);
-        test.act();
+        let effects = test.act();
+        let dropped = if is_in_intake { vec![JOB] } else { Vec::new() };
+        assert_eq!(effects.dropped, dropped);
         let batch = test.cell.take_batch().expect("encodes");
         assert_eq!(batch, None, "a batch without records");
-        let batch = next_batch(&mut test);
-        let dropped = if is_in_intake { vec![JOB] } else { Vec::new() };
-        assert_eq!(batch.dropped_intake, dropped);
         test.cell.batch_recorded();
         let effects = TestEffects::from(test.cell.take_effects());
         assert!(effects.starts.is_empty(), "{effects:?}");
@@ -144,9 +143,9 @@
     test.submit(1, PLAIN, job(1, 1_000));
     assert_eq!(test.cell.state(JOB), Some(JobShown::Completed));
     assert_eq!(test.cell.sizes().0, 0);
+    assert_eq!(test.act().dropped, [JOB]);
     let batch = test.cell.take_batch().expect("encodes");
     assert_eq!(batch, None, "a batch without records");
-    assert_eq!(next_batch(&mut test).dropped_intake, [JOB]);
 }
 
 #[test]
--- a/tests/tests/work_faults.rs
+++ b/tests/tests/work_faults.rs
@@ -75,6 +75,8 @@
     recorded: BTreeSet<JobCode>,
     /// The jobs whose submission was dropped again.
     dropped: BTreeSet<JobCode>,
+    /// The jobs that a host recorded itself.
+    intake: BTreeSet<JobCode>,
     /// The batches on their way to the log, the oldest first.
     writing: VecDeque<RecordBatch>,
     /// The callers who wait for their job to be in the log.
@@ -112,6 +114,7 @@
             submissions: BTreeMap::new(),
             recorded: BTreeSet::new(),
             dropped: BTreeSet::new(),
+            intake: BTreeSet::new(),
             writing: VecDeque::new(),
             callers: BTreeMap::new(),
             next_caller: 0,
@@ -164,6 +167,9 @@
         for code in self.recorded.difference(&self.dropped) {
             self.cell.resume(*code, self.submissions[code].clone());
         }
+        for code in &self.intake {
+            self.cell.submit(*code, self.submissions[code].clone());
+        }
         for (code, progress) in &self.log {
             self.cell.restore(*code, progress.clone());
         }
@@ -255,6 +261,9 @@
                         "{code} is accepted too early"
                     );
                 }
+                CellEffect::DropIntake(code) => {
+                    self.intake.remove(&code);
+                }
                 effect => {
                     if let CellEffect::Start(command) = &effect {
                         self.check_start(command);
@@ -275,7 +284,7 @@
             CellEffect::Start(command) => &command.target,
             CellEffect::Stop(command) => &command.target,
             CellEffect::Look(command) => &command.target,
-            CellEffect::Ask(_) | CellEffect::Reply(..) => return None,
+            CellEffect::Ask(_) | CellEffect::DropIntake(_) | CellEffect::Reply(..) => return None,
         };
         let mut fleet = self.fleet.iter();
         let meant = fleet.find(|worker| worker.report.id == target.id);
@@ -297,7 +306,7 @@
                 self.send(timeout, ORDER_TIMEOUT);
                 self.send_order(Message::Look(order, command));
             }
-            CellEffect::Ask(_) | CellEffect::Reply(..) => return None,
+            CellEffect::Ask(_) | CellEffect::DropIntake(_) | CellEffect::Reply(..) => return None,
         }
         Some(order)
     }
@@ -532,8 +541,15 @@
         let queue = if self.rng.bool() { ADVISED } else { PLAIN };
         let code = JobCode::new(code);
         let submission = submission(queue, spec, self.now);
-        self.submissions.insert(code, submission);
-        self.hand_in(code);
+        if self.rng.u32(0..4) == 0 {
+            // A host that reached no owner recorded the job itself.
+            self.intake.insert(code);
+            self.submissions.insert(code, submission.clone());
+            self.cell.submit(code, submission);
+        } else {
+            self.submissions.insert(code, submission);
+            self.hand_in(code);
+        }
     }
 }
 
--- a/tests/tests/work_support/mod.rs
+++ b/tests/tests/work_support/mod.rs
@@ -116,6 +116,7 @@
     pub looks: Vec<LookCommand>,
     pub questions: Vec<AdviceCommand>,
     pub replies: usize,
+    pub dropped: Vec<JobCode>,
 }
 
 impl From<Vec<CellEffect>> for TestEffects {
@@ -128,6 +129,7 @@
                 CellEffect::Look(command) => sorted.looks.push(command),
                 CellEffect::Ask(command) => sorted.questions.push(command),
                 CellEffect::Reply(..) => sorted.replies += 1,
+                CellEffect::DropIntake(job) => sorted.dropped.push(job),
             }
         }
         sorted
