Let the larger host own the cell first in the test of its return

Eighteen copies of the test at once failed 10 times; the log of one shows that the small host claimed the cell at the start, before it knew the larger one, left it after 2 s, and so does not leave it again within the 20 s that the product keeps between two such changes. The product does what it should; the test took its premise for granted.

Change: the small host is ended before the larger one owns the cell, and starts anew. The assertions are the same.

Before: 10 of 18 failed at once. After: 0 of 36.

--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -353,10 +353,14 @@
     let platform = EdgePlatform::new(4, MilliSpan::new(100));
     platform.write_config(&config(1, KEY));
     let mut cell = EdgeCell::start_sized(&platform, &[0.12, 0.5]);
+    // The small host must not have left the cell before: it does so rarely.
+    cell.kill(0);
     until("the larger host owns the cell", 5, async || {
         cell.owner() == Some(1)
     })
     .await;
+    cell.start_host(0);
+    until("the small host is back", 5, async || cell.is_ready(0).await).await;
     cell.kill(1);
     until("the small host owns the cell", 5, async || {
         cell.owner() == Some(0)
