--- a/crates/pimentochute-measure/src/cell_cost/play.rs
+++ b/crates/pimentochute-measure/src/cell_cost/play.rs
@@ -20,7 +20,16 @@
 /// The least time between two batches.
 const BATCH_SPACING: u64 = 15;
 
-/// One in this many workers suits a step.
+/// The shortest run, in milliseconds.
+const SHORTEST_RUN: u64 = 640;
+
+/// By how much runs differ, in milliseconds.
+const RUN_SPREAD: u64 = 3_500;
+
+/// Where the numbers begin by which runs differ.
+const RUN_SEED: u64 = 16;
+
+/// One in this many workers suits a step; which ones differs by the question.
 const GOOD_PART: u64 = 2;
 
 /// The memory of a worker.
@@ -233,7 +242,7 @@
             CellEffect::Start(command) => {
                 self.counts.starts += 1;
                 let task = command.task.to_string();
-                let ends = self.now + run_time(command.task.job.to_string().len() as u64, &task);
+                let ends = self.now + run_time(RUN_SEED, &task);
                 let id = command.target.id.clone();
                 let worker = self.workers.get_mut(&id).expect("a known worker");
                 worker.runs.insert(task.clone(), command.run);
@@ -280,7 +289,7 @@
     let mixed = task
         .bytes()
         .fold(seed, |mixed, byte| mixed.wrapping_mul(31) + u64::from(byte));
-    640 + mixed % 3_500
+    SHORTEST_RUN + mixed % RUN_SPREAD
 }
 
 fn is_good(command: &AdviceCommand, worker: &str) -> bool {
