Do not take a gang member that has ended for one that stands still

Change: the run of a task that is done does not stand still.

Test first: members_that_end_with_their_gang_are_not_stopped now lists the member for four more seconds; it failed with a stop.

--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -2,6 +2,7 @@
 
 use pimentochute_base::{MilliSpan, MilliTime, ResourceAmount};
 
+use crate::job::TaskSpot;
 use crate::worker::{PlacedRun, WorkerState};
 use crate::{JobKey, WorkerKey};
 
@@ -134,6 +135,10 @@
             return false;
         }
         let job = &self.jobs[job_key];
+        if job.tasks[index].spot == TaskSpot::Done {
+            // It ended with its gang, and its worker has not listed that yet.
+            return false;
+        }
         let spec = job.step_spec(job.step_index(job.name_of(index)));
         // A long task takes longer for a percent, and its estimate is rough.
         let per_percent = MilliSpan::new(spec.estimate.as_millis() / 25);
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -476,6 +476,21 @@
     assert!(effects.stops.is_empty(), "{:?}", effects.stops);
     let effects = test.record();
     assert!(effects.stops.is_empty(), "{:?}", effects.stops);
+    // Its worker keeps listing it for longer than a run may stand still.
+    for _ in 0..4 {
+        test.step(1_000);
+        for look in test.act().looks {
+            let held = starts.iter().find(|start| start.worker == look.worker);
+            let held = held.filter(|start| start.task.index == 1);
+            let listing = WorkerListing {
+                running: held.into_iter().map(|start| running(start, 99)).collect(),
+                ..WorkerListing::default()
+            };
+            test.answer_look(&look, listing);
+        }
+    }
+    let effects = test.act();
+    assert!(effects.stops.is_empty(), "{:?}", effects.stops);
     // The room counts as taken until the worker lists the end.
     test.submit(2, PLAIN, job(2, 1_000));
     test.act();
