--- a/tests/tests/work_closed.rs
+++ b/tests/tests/work_closed.rs
@@ -4,11 +4,11 @@
 mod work_support;
 
 use pimentochute_work::{
-    CallerAnswer, CellEffect, EndedRow, JobCode, JobEnd, JobProgress, JobShown, RecordBatch,
-    RecordKind, ReplyKey, RunEnd, WorkerListing, decode_record,
+    CallerAnswer, CellEffect, JobCode, JobEnd, JobProgress, JobShown, RecordBatch, RecordKind,
+    ReplyKey, RunEnd, WorkerListing, decode_record,
 };
 use test_case::test_case;
-use work_support::{PLAIN, TEAM, TestCell, TestEffects, job, submission};
+use work_support::{PLAIN, TEAM, TestCell, TestEffects, ended, job, submission};
 
 const JOB: JobCode = JobCode::new(1);
 const LONG: u64 = 140_000;
@@ -29,15 +29,9 @@
     test.answer_starts(std::slice::from_ref(&start));
     test.step(500);
     let look = test.act().looks.remove(0);
-    let ended = EndedRow {
-        number: 1,
-        task: start.task.to_string(),
-        run: start.run,
-        how: RunEnd::Done,
-        checkpoint: String::new(),
-    };
+    let ended_row = ended(&start, 1, RunEnd::Done);
     let listing = WorkerListing {
-        ended: vec![ended],
+        ended: vec![ended_row],
         ..WorkerListing::default()
     };
     test.answer_look(&look, listing);
@@ -167,15 +161,9 @@
     assert_eq!(effects.stops.len(), 1, "{effects:?}");
     let look = effects.looks.into_iter().next();
     let look = look.or_else(|| test.act().looks.pop()).expect("a look");
-    let ended = EndedRow {
-        number: 1,
-        task: start.task.to_string(),
-        run: start.run,
-        how: RunEnd::Stopped,
-        checkpoint: String::new(),
-    };
+    let ended_row = ended(&start, 1, RunEnd::Stopped);
     let listing = WorkerListing {
-        ended: vec![ended],
+        ended: vec![ended_row],
         ..WorkerListing::default()
     };
     test.answer_look(&look, listing);
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -4,10 +4,10 @@
 
 use pimentochute_base::MilliTime;
 use pimentochute_work::{
-    CellPolicy, EndedRow, JobCode, JobShown, OrderError, RunEnd, RunningRow, WorkerListing,
+    CellPolicy, JobCode, JobShown, OrderError, RunEnd, RunningRow, WorkerListing,
 };
 use test_case::test_case;
-use work_support::{PLAIN, TestCell, TestEffects, gang, job, report};
+use work_support::{PLAIN, TestCell, TestEffects, ended, gang, job, report, running};
 
 /// Hands a job in and returns the starts that follow its record.
 fn started(test: &mut TestCell, code: u64, tasks: u32) -> TestEffects {
@@ -17,25 +17,6 @@
     test.record()
 }
 
-fn running(start: &pimentochute_work::StartCommand, percent: u32) -> RunningRow {
-    RunningRow {
-        task: start.task.to_string(),
-        run: start.run,
-        checkpoint: String::new(),
-        percent,
-    }
-}
-
-fn ended(start: &pimentochute_work::StartCommand, number: u64, how: RunEnd) -> EndedRow {
-    EndedRow {
-        number,
-        task: start.task.to_string(),
-        run: start.run,
-        how,
-        checkpoint: String::new(),
-    }
-}
-
 #[test]
 fn a_start_waits_for_its_record() {
     let mut test = TestCell::new(1);
--- a/tests/tests/work_rank.rs
+++ b/tests/tests/work_rank.rs
@@ -2,8 +2,8 @@
 
 mod work_support;
 
-use pimentochute_work::{EndedRow, RunEnd, WorkerListing};
-use work_support::{PLAIN, TestCell, job};
+use pimentochute_work::{RunEnd, WorkerListing};
+use work_support::{PLAIN, TestCell, ended, job};
 
 #[test]
 fn a_job_whose_run_failed_goes_on_before_later_ones() {
@@ -18,15 +18,9 @@
     test.step(2_400);
     test.submit(2, PLAIN, job(1, 1_000));
     let look = test.act().looks.remove(0);
-    let failed = EndedRow {
-        number: 1,
-        task: start.task.to_string(),
-        run: start.run,
-        how: RunEnd::Failed,
-        checkpoint: String::new(),
-    };
+    let failed_row = ended(&start, 1, RunEnd::Failed);
     let listing = WorkerListing {
-        ended: vec![failed],
+        ended: vec![failed_row],
         ..WorkerListing::default()
     };
     test.answer_look(&look, listing);
--- a/tests/tests/work_support/mod.rs
+++ b/tests/tests/work_support/mod.rs
@@ -6,9 +6,10 @@
 
 use pimentochute_base::{ConfigVersion, EpochNumber, MilliSpan, MilliTime, ResourceAmount};
 use pimentochute_work::{
-    AdviceCommand, AdviceCost, AdviceRow, CellConfig, CellEffect, CellPolicy, JobCode, JobSpec,
-    JobSubmission, LookCommand, PoolConfig, QueueConfig, QueueTerms, RequestLimits, StartCommand,
-    StepSpec, StopCommand, TeamConfig, WorkCell, WorkerListing, WorkerReport,
+    AdviceCommand, AdviceCost, AdviceRow, CellConfig, CellEffect, CellPolicy, EndedRow, JobCode,
+    JobSpec, JobSubmission, LookCommand, PoolConfig, QueueConfig, QueueTerms, RequestLimits,
+    RunEnd, RunningRow, StartCommand, StepSpec, StopCommand, TeamConfig, WorkCell, WorkerListing,
+    WorkerReport,
 };
 
 /// The queue whose workers need advice.
@@ -226,6 +227,27 @@
     }
 }
 
+/// A run as its worker lists it.
+pub fn running(start: &StartCommand, percent: u32) -> RunningRow {
+    RunningRow {
+        task: start.task.to_string(),
+        run: start.run,
+        checkpoint: String::new(),
+        percent,
+    }
+}
+
+/// The end of a run as its worker lists it.
+pub fn ended(start: &StartCommand, number: u64, how: RunEnd) -> EndedRow {
+    EndedRow {
+        number,
+        task: start.task.to_string(),
+        run: start.run,
+        how,
+        checkpoint: String::new(),
+    }
+}
+
 pub fn worker_id(index: usize) -> String {
     format!("w{index:03}")
 }
