Replace an owner only if its heartbeats stop, its host refuses, or nobody reaches it

Change: the owner of a term appends a heartbeat every 250 ms, as long as its loop makes progress and it can write. A suspicion counts only if the heartbeats have stopped for 750 ms, if the host refuses the call, or if nobody has reached the owner for 3 s. Timeouts of pings double up to 1 s.

Tests: edge_owner_watch, 'busy owner', 'frozen owner', 'killed owner', 'storm of claims'; the first one fails with the former rule, by which a suspicion was enough.

--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::claim_pacing::ClaimPacing;
 use crate::context::EdgeContext;
 use crate::failure_detector::FailureDetector;
 use crate::members::HostGroup;
@@ -77,6 +78,8 @@
     /// When the claim was received; before the first claim, when the topic was
     /// read first.
     pub(crate) received_at: MilliTime,
+    /// The claims of the last seconds.
+    pub(crate) pacing: ClaimPacing,
 }
 
 /// Reads the claims from the log, and claims the cell when it has no owner, or
@@ -121,6 +124,7 @@
             log::info!(epoch:% = claim.epoch, owner:% = claim.member; "claim: another host knows a newer claim");
             view.claim = Some(claim);
             view.received_at = now;
+            view.pacing.record_claim(now);
             true
         });
     }
@@ -205,6 +209,9 @@
                 epoch:% = claim.epoch, owner:% = claim.member, heir:% = claim.designated_successor;
                 "claim: the cell has a new claim"
             );
+            if known.is_none_or(|known| known < claim.epoch) {
+                view.pacing.record_claim(now);
+            }
             view.claim = Some(claim);
             view.received_at = now;
             true
@@ -296,12 +303,14 @@
             return is_designated || now.since(view.received_at) >= wait;
         }
         let detector = *self.detector();
-        let suspected = detector.suspected_since(claim.epoch);
-        let is_suspect = suspected.is_some_and(|since| now.since(since) >= delay);
+        // A takeover costs time and traffic: an owner that may only be slow gets
+        // longer the more takeovers there were.
+        let is_paced = detector.is_refused() || view.pacing.may_replace(view.received_at, now);
+        let has_failed = is_paced && detector.has_failed(claim.epoch, delay, now);
         // The list may omit a working owner, so a missed ping is required as
         // well.
         let has_left = rank == 0 && self.group.has_left(&claim.member, view.received_at);
-        is_log_healthy && is_suspect || has_left && detector.has_missed_calls()
+        is_log_healthy && has_failed || has_left && detector.has_missed_calls()
     }
 
     /// Locks the failure detector. Poisoning is ignored: each method updates
--- a/crates/pimentochute-edge/src/failure_detector.rs
+++ b/crates/pimentochute-edge/src/failure_detector.rs
@@ -1,12 +1,25 @@
 //! The failure detector of the owner: combines a host's own calls to the owner
-//! with the observations of other hosts. The owner itself does not count as a
-//! witness.
+//! with the observations of other hosts and the owner's heartbeats in the log.
+//! The owner itself does not count as a witness.
+//!
+//! An overloaded owner answers late, and replacing it adds the load of a
+//! takeover. Unanswered calls therefore only raise a suspicion. The owner has
+//! failed if its process is gone, if its heartbeats have stopped as well, or if
+//! no host has reached it for long.
 
-use pimentochute_base::{EpochNumber, MilliTime};
+use pimentochute_base::{EpochNumber, MilliSpan, MilliTime};
 
 /// The owner is suspected after this many consecutive unanswered calls.
 const MISSED_CALLS_TO_SUSPECT: u32 = 2;
 
+/// A suspected owner without a new heartbeat for this long has failed: three
+/// heartbeat intervals.
+const HEARTBEAT_TIMEOUT: MilliSpan = MilliSpan::new(750);
+
+/// An owner that no host has reached for this long is replaced although its
+/// heartbeats go on, since callers on other hosts do not reach it either.
+const UNREACHABLE_TIMEOUT: MilliSpan = MilliSpan::new(3_000);
+
 /// Whether another host reaches the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerObservation {
@@ -45,6 +58,12 @@
     missed_calls: u32,
     /// When the owner became suspect; `None` while it is not.
     suspected_since: Option<MilliTime>,
+    /// The last call was refused: the process of the owner is gone, its term has
+    /// ended, or it cannot write to the log.
+    is_refused: bool,
+    /// The newest heartbeat of the owner of `epoch` and when it was first read;
+    /// `None` before the first read. The number is `None` if there was none.
+    heartbeat: Option<(Option<u64>, MilliTime)>,
 }
 
 impl FailureDetector {
@@ -56,6 +75,8 @@
             epoch: EpochNumber::new(0),
             missed_calls: MISSED_CALLS_TO_SUSPECT - 1,
             suspected_since: None,
+            is_refused: false,
+            heartbeat: None,
         }
     }
 
@@ -75,11 +96,8 @@
         observations: &[PeerObservation],
         now: MilliTime,
     ) -> OwnerVerdict {
-        if self.epoch != epoch {
-            self.epoch = epoch;
-            self.missed_calls = self.missed_calls.min(1);
-            self.suspected_since = None;
-        }
+        self.follow_epoch(epoch);
+        self.is_refused = false;
         if is_answered {
             self.missed_calls = 0;
             self.suspected_since = None;
@@ -95,6 +113,59 @@
         verdict
     }
 
+    /// Records that the owner's host refused the last call: it answered that it
+    /// does not own the cell, or no process accepted the connection.
+    pub const fn record_refusal(&mut self) {
+        self.is_refused = true;
+    }
+
+    /// Records the number of the newest heartbeat of the owner of `epoch` in the
+    /// log, read at `now`; `None` if there is none.
+    pub fn record_heartbeat(&mut self, epoch: EpochNumber, number: Option<u64>, now: MilliTime) {
+        self.follow_epoch(epoch);
+        if self.heartbeat.is_none_or(|(known, _)| known != number) {
+            self.heartbeat = Some((number, now));
+        }
+    }
+
+    /// Returns the number of consecutive calls without an answer.
+    #[must_use]
+    pub const fn missed_calls(&self) -> u32 {
+        self.missed_calls
+    }
+
+    /// Returns whether the owner of `epoch` has been suspected for `delay` and has
+    /// failed.
+    #[must_use]
+    pub fn has_failed(&self, epoch: EpochNumber, delay: MilliSpan, now: MilliTime) -> bool {
+        let Some(since) = self.suspected_since(epoch) else {
+            return false;
+        };
+        let suspected = now.since(since);
+        let is_silent = self
+            .heartbeat
+            .is_some_and(|(_, at)| now.since(at) >= HEARTBEAT_TIMEOUT);
+        suspected >= delay && (self.is_refused || is_silent)
+            || suspected >= delay + UNREACHABLE_TIMEOUT
+    }
+
+    /// Returns whether the owner's host refused the last call.
+    #[must_use]
+    pub const fn is_refused(&self) -> bool {
+        self.is_refused
+    }
+
+    /// Discards what is known about the owner of another epoch.
+    fn follow_epoch(&mut self, epoch: EpochNumber) {
+        if self.epoch != epoch {
+            self.epoch = epoch;
+            self.missed_calls = self.missed_calls.min(1);
+            self.suspected_since = None;
+            self.is_refused = false;
+            self.heartbeat = None;
+        }
+    }
+
     /// Ends a suspicion; called while the cell has no owner or this host does
     /// not watch it.
     pub fn clear(&mut self) {
--- /dev/null
+++ b/crates/pimentochute-edge/src/heartbeat.rs
@@ -0,0 +1,132 @@
+//! The heartbeats of the owner in the log. They show that a busy owner works
+//! although its answers to other hosts are late.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use pimentochute_base::{EpochNumber, MilliSpan};
+use pimentochute_work::{decode_record, encode_record};
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+
+use crate::context::EdgeContext;
+use crate::owner::LocalOwner;
+use crate::{AppendCall, KeyedRecord, StoreError};
+
+/// The topic that holds the newest heartbeat of each cell.
+const HEARTBEAT_TOPIC: &str = "keyed.heartbeats";
+
+/// The key of the heartbeats; the platform has a single cell.
+const CELL_KEY: &str = "cell-0";
+
+/// The interval between two heartbeats.
+const HEARTBEAT_INTERVAL: MilliSpan = MilliSpan::new(250);
+
+/// The heartbeats stop if the term has made no progress for this long.
+const STALL_TIMEOUT: MilliSpan = MilliSpan::new(1_000);
+
+/// The time that a new owner gets to load the cell before its first progress.
+const LOAD_TIMEOUT: MilliSpan = MilliSpan::new(5_000);
+
+/// The largest number of heartbeats whose append has not been answered.
+const MAX_OPEN_APPENDS: usize = 8;
+
+/// One heartbeat, as it is recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct HeartbeatRecord {
+    epoch: EpochNumber,
+    /// Rises with each heartbeat of a term.
+    number: u64,
+}
+
+/// Sends the heartbeats of one term while the term makes progress.
+#[derive(Clone)]
+pub(crate) struct OwnerHeartbeat {
+    context: EdgeContext,
+    local_owner: LocalOwner,
+    epoch: EpochNumber,
+    /// The heartbeats stop at this time of the host's clock, in milliseconds.
+    valid_until: Arc<AtomicU64>,
+}
+
+impl OwnerHeartbeat {
+    /// Creates the heartbeat of a term that begins now.
+    pub(crate) fn new(context: EdgeContext, local_owner: LocalOwner, epoch: EpochNumber) -> Self {
+        let valid_until = context.clock.now() + LOAD_TIMEOUT;
+        Self {
+            context,
+            local_owner,
+            epoch,
+            valid_until: Arc::new(AtomicU64::new(valid_until.as_millis())),
+        }
+    }
+
+    /// Notes that the term has made progress.
+    pub(crate) fn record_progress(&self) {
+        let valid_until = self.context.clock.now() + STALL_TIMEOUT;
+        self.valid_until
+            .fetch_max(valid_until.as_millis(), Ordering::Relaxed);
+    }
+
+    /// Appends heartbeats until the future is dropped. They do not wait for each
+    /// other, so that a slow link delays them but does not make them rarer.
+    pub(crate) async fn run(self) {
+        let mut appends = JoinSet::new();
+        let mut number = 0;
+        loop {
+            while appends.try_join_next().is_some() {}
+            let is_valid =
+                self.context.clock.now().as_millis() <= self.valid_until.load(Ordering::Relaxed);
+            if is_valid && self.local_owner.is_healthy() && appends.len() < MAX_OPEN_APPENDS {
+                number += 1;
+                let heartbeat = self.clone();
+                appends.spawn(async move {
+                    if let Err(error) = heartbeat.append(number).await {
+                        log::debug!(epoch:% = heartbeat.epoch, error:%; "owner: a heartbeat failed");
+                    }
+                });
+            }
+            tokio::time::sleep(HEARTBEAT_INTERVAL.as_duration()).await;
+        }
+    }
+
+    async fn append(&self, number: u64) -> Result<u64, StoreError> {
+        let record = HeartbeatRecord {
+            epoch: self.epoch,
+            number,
+        };
+        let value = encode_record(&record).map_err(|error| StoreError::NotDone {
+            detail: error.to_string(),
+        })?;
+        let call = AppendCall {
+            topic: HEARTBEAT_TOPIC.to_owned(),
+            records: vec![KeyedRecord {
+                key: CELL_KEY.to_owned(),
+                value: value.into(),
+            }],
+            stamp: None,
+            expected_end: None,
+        };
+        self.context.ports.store.append(call).await
+    }
+}
+
+/// Reads the number of the newest heartbeat of the owner of `epoch`; `None` if
+/// the newest one is of another owner or there is none.
+///
+/// # Errors
+/// Fails if the log does not answer.
+pub(crate) async fn read_heartbeat(
+    context: &EdgeContext,
+    epoch: EpochNumber,
+) -> Result<Option<u64>, StoreError> {
+    let page = context.ports.store.newest(HEARTBEAT_TOPIC, None).await?;
+    let newest = page.records.iter().find(|record| record.key == CELL_KEY);
+    let heartbeat = newest.and_then(|record| {
+        decode_record::<HeartbeatRecord>(&record.value)
+            .inspect_err(|error| log::warn!("claim: cannot decode a heartbeat: {error}"))
+            .ok()
+    });
+    let heartbeat = heartbeat.filter(|heartbeat| heartbeat.epoch == epoch);
+    Ok(heartbeat.map(|heartbeat| heartbeat.number))
+}
--- a/crates/pimentochute-edge/src/lib.rs
+++ b/crates/pimentochute-edge/src/lib.rs
@@ -11,11 +11,13 @@
 
 mod caller_api;
 mod claim;
+mod claim_pacing;
 mod config_feed;
 mod context;
 mod daemon;
 mod edge_metrics;
 mod failure_detector;
+mod heartbeat;
 mod intake;
 mod members;
 mod outage_log;
@@ -29,6 +31,7 @@
 mod reload;
 mod settings;
 
+pub use claim_pacing::ClaimPacing;
 pub use context::EdgePorts;
 pub use daemon::{EdgeError, run};
 pub use failure_detector::{FailureDetector, OwnerVerdict, PeerObservation};
--- a/crates/pimentochute-edge/src/owner/run.rs
+++ b/crates/pimentochute-edge/src/owner/run.rs
@@ -17,6 +17,7 @@
 use crate::claim::ClaimFeed;
 use crate::config_feed::ConfigFeed;
 use crate::context::EdgeContext;
+use crate::heartbeat::OwnerHeartbeat;
 use crate::members::HostGroup;
 use crate::peer::PeerClient;
 
@@ -124,6 +125,8 @@
         let Ok(Some(first)) = first else {
             return Ok(TermEnd::Stopped);
         };
+        let heartbeat = OwnerHeartbeat::new(self.context.clone(), self.local_owner.clone(), epoch);
+        let _heartbeats = AbortOnDropHandle::new(tokio::spawn(heartbeat.clone().run()));
         load::fence_log(&self.context, epoch.get()).await?;
         let clock = &self.context.clock;
         let mut cell = WorkCell::new(
@@ -179,6 +182,7 @@
                 term.handle_event(event)?;
             }
             term.run_due_work()?;
+            heartbeat.record_progress();
             if term.cell.is_superseded() {
                 return Err(StoreError::Fenced);
             }
--- a/crates/pimentochute-edge/src/owner_monitor.rs
+++ b/crates/pimentochute-edge/src/owner_monitor.rs
@@ -1,16 +1,17 @@
-//! Pings the owner and asks other hosts about it, to detect its failure. The
-//! owner itself is not asked as a witness. Log lines of this module have the
+//! Pings the owner, asks other hosts about it and reads its heartbeats, to detect
+//! its failure. The owner itself is not asked as a witness. Log lines of this module have the
 //! prefix `claim:`; [`OwnerVerdict`] says what each verdict means.
 
 use std::sync::Arc;
 
 use futures::future::join_all;
-use pimentochute_base::MilliSpan;
+use pimentochute_base::{MilliSpan, MilliTime};
 use tokio_util::sync::CancellationToken;
 
 use crate::claim::{ClaimFeed, OwnerClaim};
 use crate::context::EdgeContext;
 use crate::failure_detector::{OwnerVerdict, PeerObservation};
+use crate::heartbeat::read_heartbeat;
 use crate::members::HostGroup;
 use crate::peer::{PING_PATH, PeerClient};
 use crate::peer_wire::{ObservationQuery, OwnerAnswer, OwnerPing};
@@ -26,6 +27,13 @@
 /// times as long as usual.
 const PING_TIMEOUT: MilliSpan = MilliSpan::new(250);
 
+/// The timeout of pings doubles with each unanswered one after the second, up to
+/// this, so that an owner whose answers are late is heard.
+const MAX_PING_TIMEOUT: MilliSpan = MilliSpan::new(1_000);
+
+/// While the owner answers, standby hosts read its heartbeats this often.
+const HEARTBEAT_READ_INTERVAL: MilliSpan = MilliSpan::new(300);
+
 /// The timeout of a query to another host, which pings the owner first.
 const OBSERVATION_TIMEOUT: MilliSpan = MilliSpan::new(350);
 
@@ -33,6 +41,18 @@
 /// so that a network failure rarely affects all of them and this host.
 const QUERIED_PEERS: usize = 3;
 
+/// The result of a ping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PingResult {
+    /// The owner answers.
+    Answered,
+    /// The host answers that it does not own the cell or cannot write to the
+    /// log, or it refuses the connection.
+    Refused,
+    /// There is no answer in time.
+    NoAnswer,
+}
+
 /// Monitors the owner with periodic pings.
 #[derive(Clone)]
 pub(crate) struct OwnerMonitor {
@@ -48,9 +68,14 @@
     /// answer sooner than the owner's membership expires.
     pub(crate) async fn run(&self, stop: CancellationToken) {
         let mut logged = OwnerVerdict::Answers;
+        let mut heartbeat_read_at = MilliTime::ZERO;
         while !stop.is_cancelled() {
-            let has_missed_calls = self.claims.detector().has_missed_calls();
-            let interval = if has_missed_calls || self.group.is_standby() {
+            let (has_missed_calls, missed_calls) = {
+                let detector = self.claims.detector();
+                (detector.has_missed_calls(), detector.missed_calls())
+            };
+            let is_standby = self.group.is_standby();
+            let interval = if has_missed_calls || is_standby {
                 SHORT_PING_INTERVAL
             } else {
                 LONG_PING_INTERVAL
@@ -68,18 +93,38 @@
                 self.claims.detector().clear();
                 continue;
             };
-            let (is_answered, observations) = if has_missed_calls {
-                futures::join!(self.ping(&claim), self.query_peers(&claim))
-            } else {
-                (self.ping(&claim).await, Vec::new())
-            };
             let now = self.context.clock.now();
-            let verdict =
-                self.claims
-                    .detector()
-                    .record_call(claim.epoch, is_answered, &observations, now);
+            let reads_heartbeat = has_missed_calls
+                || is_standby && now.since(heartbeat_read_at) >= HEARTBEAT_READ_INTERVAL;
+            if reads_heartbeat {
+                heartbeat_read_at = now;
+            }
+            let peers = async {
+                if has_missed_calls {
+                    self.query_peers(&claim).await
+                } else {
+                    Vec::new()
+                }
+            };
+            let heartbeat = async {
+                if reads_heartbeat {
+                    self.update_heartbeat(&claim).await;
+                }
+            };
+            let ping = self.ping(&claim, ping_timeout(missed_calls));
+            let (result, observations, ()) = futures::join!(ping, peers, heartbeat);
+            let verdict = {
+                let mut detector = self.claims.detector();
+                let is_answered = result == PingResult::Answered;
+                let now = self.context.clock.now();
+                let verdict = detector.record_call(claim.epoch, is_answered, &observations, now);
+                if result == PingResult::Refused {
+                    detector.record_refusal();
+                }
+                verdict
+            };
             if verdict != logged && verdict != OwnerVerdict::Unclear {
-                log_verdict(&claim, verdict, &observations);
+                log_verdict(&claim, verdict, result, &observations);
                 logged = verdict;
             }
         }
@@ -91,22 +136,46 @@
         let known = self.claims.newest();
         let is_superseded = known.is_some_and(|known| known.epoch > query.claim.epoch);
         let is_own = *query.claim.member == *self.context.member;
-        if is_superseded || !is_own && self.ping(&query.claim).await {
+        let reaches_owner = async {
+            !is_own && self.ping(&query.claim, PING_TIMEOUT).await == PingResult::Answered
+        };
+        if is_superseded || reaches_owner.await {
             OwnerAnswer::Owner
         } else {
             OwnerAnswer::NotOwner
         }
     }
 
-    async fn ping(&self, claim: &OwnerClaim) -> bool {
+    async fn ping(&self, claim: &OwnerClaim, timeout: MilliSpan) -> PingResult {
         let ping = OwnerPing {
             member: claim.member.clone(),
         };
+        let sent_at = self.context.clock.now();
         let answer = self
             .peer_client
-            .ask_owner(&claim.address, PING_PATH, &ping, MilliSpan::ZERO);
-        let answer = tokio::time::timeout(PING_TIMEOUT.as_duration(), answer).await;
-        matches!(answer, Ok(Ok(OwnerAnswer::Owner)))
+            .ask_owner(&claim.address, PING_PATH, &ping, timeout);
+        let answer = tokio::time::timeout(timeout.as_duration(), answer).await;
+        let took = self.context.clock.now().since(sent_at);
+        match answer {
+            Ok(Ok(OwnerAnswer::Owner)) => PingResult::Answered,
+            Ok(Ok(_)) => PingResult::Refused,
+            // An attempt to connect that fails sooner than by its timeout was
+            // refused.
+            Ok(Err(error)) if error.has_no_effect() && took < PING_TIMEOUT => PingResult::Refused,
+            Ok(Err(_)) | Err(_) => PingResult::NoAnswer,
+        }
+    }
+
+    async fn update_heartbeat(&self, claim: &OwnerClaim) {
+        match read_heartbeat(&self.context, claim.epoch).await {
+            Ok(number) => {
+                let now = self.context.clock.now();
+                self.claims
+                    .detector()
+                    .record_heartbeat(claim.epoch, number, now);
+            }
+            Err(error) => log::debug!(error:%; "claim: reading the owner's heartbeat failed"),
+        }
     }
 
     async fn query_peers(&self, claim: &OwnerClaim) -> Vec<PeerObservation> {
@@ -143,7 +212,19 @@
     }
 }
 
-fn log_verdict(claim: &OwnerClaim, verdict: OwnerVerdict, observations: &[PeerObservation]) {
+/// Returns the timeout of the next ping after a number of unanswered ones.
+fn ping_timeout(missed_calls: u32) -> MilliSpan {
+    let doublings = missed_calls.saturating_sub(1).min(4);
+    let timeout = MilliSpan::new(PING_TIMEOUT.as_millis() << doublings);
+    timeout.min(MAX_PING_TIMEOUT)
+}
+
+fn log_verdict(
+    claim: &OwnerClaim,
+    verdict: OwnerVerdict,
+    result: PingResult,
+    observations: &[PeerObservation],
+) {
     let verdict_text: &str = verdict.into();
     let answered = observations
         .iter()
@@ -154,7 +235,8 @@
     } else {
         log::warn!(
             epoch:% = claim.epoch, owner:% = claim.member,
-            verdict = verdict_text, asked = observations.len(), heard = answered;
+            verdict = verdict_text, refused = result == PingResult::Refused,
+            asked = observations.len(), heard = answered;
             "claim: the owner does not answer"
         );
     }
--- a/tests/tests/edge_owner_watch.rs
+++ b/tests/tests/edge_owner_watch.rs
@@ -1,7 +1,7 @@
 //! When a host suspects the owner of the cell to have failed.
 
-use pimentochute_base::{EpochNumber, MilliTime};
-use pimentochute_edge::{FailureDetector, OwnerVerdict, PeerObservation};
+use pimentochute_base::{EpochNumber, MilliSpan, MilliTime};
+use pimentochute_edge::{ClaimPacing, FailureDetector, OwnerVerdict, PeerObservation};
 use test_case::test_case;
 
 use OwnerVerdict::{Answers, NoPeerAnswers, OthersReachIt, Suspect, Unclear};
@@ -73,3 +73,112 @@
     let verdict = detector.record_call(OWNER, false, &[Unreachable], MilliTime::new(10));
     assert_eq!(verdict, Suspect);
 }
+
+/// Returns whether the owner counts as failed, for a host that claims at once.
+fn has_failed(detector: &FailureDetector, at: u64) -> bool {
+    detector.has_failed(OWNER, MilliSpan::ZERO, MilliTime::new(at))
+}
+
+/// Pattern "busy owner": in a burst, the answers of a healthy owner wait behind its
+/// own traffic, so that no host gets one in time. Its heartbeats in the log go on.
+/// It was replaced, and each successor after it.
+#[test]
+fn an_owner_whose_heartbeats_go_on_is_not_replaced_for_late_answers() {
+    let mut detector = healthy_detector();
+    for round in 0..6_u64 {
+        let at = 1_000 + round * 400;
+        detector.record_heartbeat(OWNER, Some(round), MilliTime::new(at));
+        detector.record_call(OWNER, false, &[Unreachable; 3], MilliTime::new(at));
+        assert!(!has_failed(&detector, at + 300), "after {} ms", round * 400);
+    }
+    assert!(detector.suspected_since(OWNER).is_some());
+}
+
+/// Pattern "frozen owner": its host has lost power or is suspended.
+#[test]
+fn a_suspected_owner_without_heartbeats_has_failed() {
+    let mut detector = healthy_detector();
+    detector.record_heartbeat(OWNER, Some(7), MilliTime::new(1_000));
+    detector.record_call(OWNER, false, &[], MilliTime::new(1_300));
+    detector.record_call(OWNER, false, &[Unreachable], MilliTime::new(1_700));
+    assert!(!has_failed(&detector, 1_700));
+    detector.record_heartbeat(OWNER, Some(7), MilliTime::new(1_750));
+    assert!(has_failed(&detector, 1_750));
+    let delay = MilliSpan::new(200);
+    assert!(!detector.has_failed(OWNER, delay, MilliTime::new(1_750)));
+    assert!(detector.has_failed(OWNER, delay, MilliTime::new(1_900)));
+}
+
+/// Pattern "killed owner": nothing accepts connections at its address any more, or
+/// the process that does is another one.
+#[test]
+fn an_owner_whose_host_refuses_the_call_is_replaced_without_waiting_for_heartbeats() {
+    let mut detector = healthy_detector();
+    detector.record_heartbeat(OWNER, Some(7), MilliTime::new(1_000));
+    detector.record_call(OWNER, false, &[], MilliTime::new(1_010));
+    detector.record_call(OWNER, false, &[Unreachable], MilliTime::new(1_020));
+    assert!(!has_failed(&detector, 1_020));
+    detector.record_refusal();
+    assert!(has_failed(&detector, 1_020));
+    detector.record_call(OWNER, true, &[], MilliTime::new(1_030));
+    assert!(!has_failed(&detector, 1_030));
+}
+
+/// Pattern "owner cut off from all hosts but not from the log": callers get no
+/// answers about their jobs, although the owner works.
+#[test]
+fn an_owner_that_nobody_reaches_for_seconds_is_replaced_although_it_works() {
+    let mut detector = healthy_detector();
+    for round in 0..10_u64 {
+        let at = MilliTime::new(1_000 + round * 400);
+        detector.record_heartbeat(OWNER, Some(round), at);
+        detector.record_call(OWNER, false, &[Unreachable], at);
+    }
+    assert!(!has_failed(&detector, 4_300));
+    assert!(has_failed(&detector, 4_400));
+}
+
+#[test]
+fn heartbeats_of_a_former_owner_say_nothing_about_the_next_one() {
+    let mut detector = healthy_detector();
+    detector.record_heartbeat(OWNER, Some(7), MilliTime::new(1_000));
+    let next = OWNER.next();
+    for at in [3_000, 3_100, 3_200] {
+        detector.record_call(next, false, &[Unreachable], MilliTime::new(at));
+    }
+    assert!(!detector.has_failed(next, MilliSpan::ZERO, MilliTime::new(3_200)));
+    detector.record_heartbeat(next, None, MilliTime::new(3_200));
+    assert!(detector.has_failed(next, MilliSpan::ZERO, MilliTime::new(4_000)));
+}
+
+/// Pattern "storm of claims": each takeover loads the next owner until it is late
+/// and replaced as well.
+#[test]
+fn each_further_takeover_gives_the_next_owner_more_time() {
+    let mut pacing = ClaimPacing::default();
+    let mut claimed_at = Vec::new();
+    for at in (0..20_000).step_by(100).map(MilliTime::new) {
+        let owner_since = claimed_at.last().copied();
+        if owner_since.is_none_or(|since| pacing.may_replace(since, at)) {
+            pacing.record_claim(at);
+            claimed_at.push(at);
+        }
+    }
+    let spans = claimed_at.windows(2).map(|pair| pair[1].since(pair[0]));
+    let spans: Vec<_> = spans.map(MilliSpan::as_millis).collect();
+    assert!(spans[0] <= 100, "the first takeover is not delayed");
+    assert!(spans.is_sorted(), "the pauses grow: {spans:?}");
+    assert!(spans.len() <= 10, "at most one takeover in 2 s: {spans:?}");
+}
+
+#[test]
+fn takeovers_of_long_ago_delay_nothing() {
+    let mut pacing = ClaimPacing::default();
+    for at in [0, 10, 20, 30] {
+        pacing.record_claim(MilliTime::new(at));
+    }
+    assert!(!pacing.may_replace(MilliTime::new(30), MilliTime::new(40)));
+    let later = MilliTime::new(60_000);
+    pacing.record_claim(later);
+    assert!(pacing.may_replace(later, later));
+}
