Count a job as waiting until a worker has answered a start

A job left the count when its start order was sent, also if the worker was cut off and never answered; a restored job left it by the number of its last run. Now the first answer, listing or end of a run counts.

--- a/crates/pimentochute-work/src/cell/ends.rs
+++ b/crates/pimentochute-work/src/cell/ends.rs
@@ -48,6 +48,7 @@
             task:% = row.task, run = row.run, worker:% = worker_id, outcome = outcome_text;
             "cell: a run ended"
         );
+        self.jobs[job_key].has_started = true;
         let task = &mut self.jobs[job_key].tasks[index];
         let is_here = task.placement == TaskPlacement::Placed(worker_key) && task.run == row.run;
         // The success of a run that was given up counts as long as the task
--- a/crates/pimentochute-work/src/cell/jobs.rs
+++ b/crates/pimentochute-work/src/cell/jobs.rs
@@ -15,8 +15,8 @@
 pub enum JobStatus {
     /// No task has started.
     Queued,
-    /// A start order was sent and the job has not ended. Its tasks may all be
-    /// waiting again.
+    /// A task has started and the job has not ended. Its tasks may all be waiting
+    /// again.
     Running,
     /// All tasks are done.
     Completed,
--- a/crates/pimentochute-work/src/cell/orders.rs
+++ b/crates/pimentochute-work/src/cell/orders.rs
@@ -41,7 +41,6 @@
             self.requeue_run(job_key, index, "the clock of its worker is unknown");
             return;
         };
-        job.has_started = true;
         let token = worker.lease.token;
         let checkpoint = task_checkpoint(
             job.step_spec(step_index).has_checkpoints,
@@ -88,9 +87,12 @@
         match result {
             Ok(clock) => {
                 worker.lease.update_clock(clock, now);
-                if let Some(run) = task_ref.and_then(|task_ref| worker.runs.get_mut(&task_ref)) {
+                if let Some(task_ref) = task_ref
+                    && let Some(run) = worker.runs.get_mut(&task_ref)
+                {
                     run.acknowledged_at = Some(now);
                     run.percent_at = now;
+                    self.jobs[task_ref.0].has_started = true;
                 }
             }
             Err(error) => self.start_failed(command, task_ref, error),
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -201,6 +201,7 @@
             return false;
         };
         run.acknowledged_at.get_or_insert(now);
+        self.jobs[job_key].has_started = true;
         if run.percent != row.percent {
             run.percent = row.percent;
             run.percent_at = now;
--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -28,7 +28,7 @@
             task.run = record.run;
             task.failures = record.failures;
             task.checkpoint = record.checkpoint;
-            self.jobs[key].has_started |= record.run > 0;
+            self.jobs[key].has_started |= record.failures > 0 || record.phase == TaskPhase::Done;
             match record.phase {
                 TaskPhase::Waiting => {}
                 TaskPhase::Done => self.jobs[key].set_placement(index, TaskPlacement::Done),
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -33,7 +33,8 @@
     pub(crate) origin: JobOrigin,
     /// The number of runs that are placed on workers.
     pub(crate) runs: u32,
-    /// A start order was sent, or may have been by a previous owner.
+    /// A worker has answered that a task of the job started. A start order that
+    /// was sent proves nothing: its worker may be unreachable.
     pub(crate) has_started: bool,
     /// The team's rate when this job arrived.
     pub(crate) rate: RateStatus,
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -494,3 +494,27 @@
     test.run_due_work();
     assert_eq!(test.record().starts.len(), 1);
 }
+
+/// Pattern "starts into a cut": the workers of a data centre that is cut off answer
+/// no start. The job was no longer counted as waiting, although no task had begun.
+#[test]
+fn a_job_whose_start_has_no_answer_still_counts_as_waiting() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    let starts = started(&mut test, 1, 1).starts;
+    assert_eq!(test.cell.pending(PLAIN), 1);
+    test.cell
+        .start_answered(&starts[0], Err(OrderError::OutcomeUnknown));
+    assert_eq!(test.cell.pending(PLAIN), 1);
+    assert_eq!(test.cell.state(JobCode::new(1)), Some(JobStatus::Queued));
+}
+
+#[test]
+fn a_job_with_an_acknowledged_start_does_not_count_as_waiting() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    let starts = started(&mut test, 1, 1).starts;
+    test.answer_starts(&starts);
+    assert_eq!(test.cell.pending(PLAIN), 0);
+    assert_eq!(test.cell.state(JobCode::new(1)), Some(JobStatus::Running));
+}
