Give a worker that returns to the list a higher token than before

A worker whose entry expires in the cut and that has no runs is removed; when it returns, its orders start again with the first token of the epoch, which the worker refuses, since it has accepted higher ones. The refusal of the present token ends the term, so that each cut of a data centre cost a takeover at its end. New workers now start above the tokens of all that were removed. Test: work_orders a_worker_that_returns_to_the_list_gets_a_higher_token_than_before (fails without the change).

--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -129,7 +129,9 @@
             .map(|(key, worker)| (key, worker.report.id.clone()))
             .collect();
         for (key, id) in gone {
-            self.workers.remove(key);
+            if let Some(worker) = self.workers.remove(key) {
+                self.first_token = self.first_token.max(worker.lease.token + 1);
+            }
             self.worker_keys.remove(&id);
         }
     }
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -518,3 +518,26 @@
     assert_eq!(test.cell.pending(PLAIN), 0);
     assert_eq!(test.cell.state(JobCode::new(1)), Some(JobStatus::Running));
 }
+
+/// Pattern "entry that expires in a cut": the worker leaves the platform's list
+/// while it is unreachable and comes back afterwards. It has accepted the tokens of
+/// the time before, so that an order with an earlier one made the owner take itself
+/// for superseded and end its term.
+#[test]
+fn a_worker_that_returns_to_the_list_gets_a_higher_token_than_before() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    let starts = started(&mut test, 1, 1).starts;
+    test.cell
+        .start_answered(&starts[0], Err(OrderError::OutcomeUnknown));
+    let poll = test.run_due_work().polls.remove(0);
+    assert!(poll.token > starts[0].token);
+    test.answer_poll(&poll, WorkerListing::default());
+    test.cell.worker_unlisted(&starts[0].target.id);
+    test.step(100);
+    test.run_due_work();
+    assert_eq!(test.cell.sizes().1, 0, "the worker is removed");
+    test.cell.worker_reported(report(0, 4_000));
+    let polls = test.run_due_work().polls;
+    assert!(polls[0].token > poll.token, "the worker refuses the poll");
+}
