Redirect jobs of an owner at the first sign that the log refuses it

Now a failed heartbeat makes hosts append forwarded jobs themselves, and a batch and a renewal that both have no answer for 600 ms count as a lost log, so that the owner is replaced.

--- a/crates/pimentochute-edge/src/heartbeat.rs
+++ b/crates/pimentochute-edge/src/heartbeat.rs
@@ -2,7 +2,7 @@
 //! although its answers to other hosts are late.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use pimentochute_base::{EpochNumber, MilliSpan};
 use pimentochute_work::{decode_record, encode_record};
@@ -47,6 +47,8 @@
     epoch: EpochNumber,
     /// The heartbeats stop at this time of the host's clock, in milliseconds.
     valid_until: Arc<AtomicU64>,
+    /// The number of failed appends since the last one that the log accepted.
+    failures: Arc<AtomicU32>,
 }
 
 impl OwnerHeartbeat {
@@ -58,9 +60,16 @@
             local_owner,
             epoch,
             valid_until: Arc::new(AtomicU64::new(valid_until.as_millis())),
+            failures: Arc::default(),
         }
     }
 
+    /// Returns whether the log did not accept the last heartbeat, so that it may
+    /// refuse other appends of this host too.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failures.load(Ordering::Relaxed) > 0
+    }
+
     /// Notes that the term has made progress.
     pub(crate) fn record_progress(&self) {
         let valid_until = self.context.clock.now() + STALL_TIMEOUT;
@@ -81,15 +90,23 @@
                 number += 1;
                 let heartbeat = self.clone();
                 appends.spawn(async move {
-                    if let Err(error) = heartbeat.append(number).await {
-                        log::debug!(epoch:% = heartbeat.epoch, error:%; "owner: a heartbeat failed");
-                    }
+                    heartbeat.send(number).await;
                 });
             }
             tokio::time::sleep(HEARTBEAT_INTERVAL.as_duration()).await;
         }
     }
 
+    async fn send(&self, number: u64) {
+        match self.append(number).await {
+            Ok(_) => self.failures.store(0, Ordering::Relaxed),
+            Err(error) => {
+                self.failures.fetch_add(1, Ordering::Relaxed);
+                log::debug!(epoch:% = self.epoch, error:%; "owner: a heartbeat failed");
+            }
+        }
+    }
+
     async fn append(&self, number: u64) -> Result<u64, StoreError> {
         let record = HeartbeatRecord {
             epoch: self.epoch,
--- a/crates/pimentochute-edge/src/owner/run.rs
+++ b/crates/pimentochute-edge/src/owner/run.rs
@@ -145,7 +145,7 @@
         let _readers = self.spawn_readers(offsets, &intake_offset, &inputs);
         self.local_owner.open_inputs(inputs.clone());
         let mut claims = self.claims.subscribe();
-        let mut term = OwnerTerm::new(self.clone(), cell, epoch, events);
+        let mut term = OwnerTerm::new(self.clone(), cell, epoch, events, heartbeat.clone());
         term.inputs = Some(inputs);
         term.intake_offset = intake_offset;
         let mut next_check = clock.now() + MIN_TERM_BEFORE_HANDOVER;
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -17,6 +17,7 @@
 use super::load;
 use super::{CellInput, CellOwner, JobCall};
 use crate::context::EdgeContext;
+use crate::heartbeat::OwnerHeartbeat;
 use crate::intake::INTAKE_TOPIC;
 use crate::outage_log::OutageLog;
 use crate::peer_wire::{JobQuery, OwnerAnswer};
@@ -38,10 +39,15 @@
 /// batch in flight is older than this.
 const LOST_LOG_AFTER: MilliSpan = MilliSpan::new(120);
 
+/// The log also counts as lost when neither a batch of this age nor a renewal of the
+/// membership since then was answered.
+const SILENT_LOG_AFTER: MilliSpan = MilliSpan::new(600);
+
 /// The state of one term as owner.
 pub(super) struct OwnerTerm {
     owner: CellOwner,
     pub(super) cell: WorkCell,
+    heartbeat: OwnerHeartbeat,
     epoch: EpochNumber,
     /// The number of the next append.
     next_sequence: u64,
@@ -91,12 +97,14 @@
         cell: WorkCell,
         epoch: EpochNumber,
         events: mpsc::Sender<TermEvent>,
+        heartbeat: OwnerHeartbeat,
     ) -> Self {
         let clock = owner.context.clock.clone();
         let outage = OutageLog::new("owner: writing to the log", clock);
         Self {
             owner,
             cell,
+            heartbeat,
             epoch,
             next_sequence: 1,
             events,
@@ -173,7 +181,11 @@
                     }
                 }
             }
-            CellInput::ForwardedJob(_, reply) if self.has_lost_log() => {
+            // The host that forwards the job then appends it itself. A job that
+            // this owner accepted could no longer be refused as not run.
+            CellInput::ForwardedJob(_, reply)
+                if self.has_lost_log() || self.heartbeat.has_failed() =>
+            {
                 send_reply(reply, OwnerAnswer::NotOwner);
             }
             CellInput::ForwardedJob(job, reply) => {
@@ -279,7 +291,9 @@
     /// Returns whether the log counts as lost to this owner.
     fn has_lost_log(&self) -> bool {
         let (_, _, oldest) = self.cell.batches();
-        self.is_failing && oldest > LOST_LOG_AFTER
+        let is_silent =
+            oldest > SILENT_LOG_AFTER && self.owner.group.join_answer_age() > SILENT_LOG_AFTER;
+        self.is_failing && oldest > LOST_LOG_AFTER || is_silent
     }
 
     /// Returns when `run_due_work` is due next, on the cell's clock.
