Let the largest hosts be the standby hosts

Cause: on sites with hosts of two sizes the cell goes to a large host, but the first three partitions, mostly small hosts, kept the copy of the records and watched the owner closely; the large ones pinged every 600 ms and read the whole log at a takeover. Test: edge_owner_watch the_largest_hosts_come_first_among_those_that_may_claim.

--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -281,7 +281,7 @@
             // append took effect and its answer was lost.
             return is_log_healthy;
         }
-        let Some(rank) = self.group.candidate_rank() else {
+        let Some(rank) = self.group.claim_rank() else {
             return claim.member.is_empty() && *claim.designated_successor == *self.context.member;
         };
         let delay = u64::from(rank.min(MAX_RANK_STEPS)) * RANK_DELAY.as_millis();
--- a/crates/pimentochute-edge/src/daemon.rs
+++ b/crates/pimentochute-edge/src/daemon.rs
@@ -316,7 +316,7 @@
             ChildSpec::new("member list", move |stop| {
                 let (group, claims) = reader.clone();
                 async move {
-                    let is_wanted = || group.candidate_rank() == Some(0) || claims.is_owner();
+                    let is_wanted = || group.claim_rank() == Some(0) || claims.is_owner();
                     group.run_reader(is_wanted, stop).map(Ok).await
                 }
             }),
--- a/crates/pimentochute-edge/src/lib.rs
+++ b/crates/pimentochute-edge/src/lib.rs
@@ -35,6 +35,7 @@
 pub use context::EdgePorts;
 pub use daemon::{EdgeError, run};
 pub use failure_detector::{FailureDetector, OwnerVerdict, PeerObservation};
+pub use members::size_rank;
 pub use ports::{
     AdviceService, AppendCall, CodecError, GroupAssignment, KeyedRecord, LogStore, NewestPage,
     PlatformCodec, StoreError, TopicPage, WorkerOrders, WriterStamp,
--- a/crates/pimentochute-edge/src/members.rs
+++ b/crates/pimentochute-edge/src/members.rs
@@ -49,6 +49,9 @@
     /// The generation as of the last read of the members.
     read_generation: u64,
     candidate_rank: Option<u32>,
+    /// The rank of this host with larger hosts first, as of the last read of the
+    /// members; `None` if it was not listed.
+    size_rank: Option<u32>,
     /// When the last answered join was sent.
     joined_at: Option<MilliTime>,
     members: BTreeSet<String>,
@@ -93,10 +96,17 @@
         rank.filter(|_| self.join_answer_age() < MEMBER_TTL)
     }
 
+    /// Returns the rank of this host among those that may claim the cell, with larger
+    /// hosts first; `None` if it may not claim. Before the members are known, it is
+    /// the rank in the group.
+    pub(crate) fn claim_rank(&self) -> Option<u32> {
+        let rank = self.candidate_rank()?;
+        Some(self.state().size_rank.unwrap_or(rank))
+    }
+
     /// Returns whether this host is a standby host: one of the first to claim.
     pub(crate) fn is_standby(&self) -> bool {
-        self.candidate_rank()
-            .is_some_and(|rank| rank < STANDBY_RANKS)
+        self.claim_rank().is_some_and(|rank| rank < STANDBY_RANKS)
     }
 
     /// Returns whether a member has certainly left the group: it is missing in a
@@ -246,6 +256,7 @@
             Ok(rows) => {
                 let mut state = self.state();
                 let partitions = rows.len();
+                state.size_rank = size_rank(&rows, &self.context.member);
                 let members: BTreeSet<_> = rows.into_values().collect();
                 // The partitions are assigned evenly: with fewer members than
                 // partitions, each member has at least one.
@@ -268,6 +279,21 @@
     }
 }
 
+/// Returns the number of members that claim the cell before `own`: larger hosts,
+/// and equal ones with an earlier partition. `None` if `own` has no partition.
+/// `rows` holds the member of each partition of the group.
+#[must_use]
+pub fn size_rank(rows: &BTreeMap<u32, String>, own: &str) -> Option<u32> {
+    let processor = MemberName::processor_millis(own);
+    let own_partition = *rows.iter().find(|(_, member)| *member == own)?.0;
+    let before = rows.iter().filter(|(partition, member)| {
+        let other = MemberName::processor_millis(member);
+        other > processor || other == processor && **partition < own_partition
+    });
+    let before: BTreeSet<_> = before.map(|(_, member)| member).collect();
+    u32::try_from(before.len()).ok()
+}
+
 impl MemberName {
     /// Returns the member name of an incarnation of a host. `started_at` is in
     /// milliseconds since the Unix epoch.
--- a/tests/tests/edge_owner_watch.rs
+++ b/tests/tests/edge_owner_watch.rs
@@ -1,7 +1,7 @@
 //! When a host suspects the owner of the cell to have failed.
 
 use pimentochute_base::{EpochNumber, MilliSpan, MilliTime};
-use pimentochute_edge::{ClaimPacing, FailureDetector, OwnerVerdict, PeerObservation};
+use pimentochute_edge::{ClaimPacing, FailureDetector, OwnerVerdict, PeerObservation, size_rank};
 use test_case::test_case;
 
 use OwnerVerdict::{Answers, NoPeerAnswers, OthersReachIt, Suspect, Unclear};
@@ -182,3 +182,24 @@
     pacing.record_claim(later);
     assert!(pacing.may_replace(later, later));
 }
+
+/// Pattern "hosts of two sizes": the standby hosts, which keep a copy of the records
+/// and watch the owner closely, were small ones that leave the cell to a larger host.
+#[test]
+fn the_largest_hosts_come_first_among_those_that_may_claim() {
+    let member = |host: &str, millis: u32| format!("{host}@10.0.0.1:7/{millis}/1f");
+    let rows = [
+        (0, member("small-a", 120)),
+        (1, member("small-b", 120)),
+        (2, member("large-a", 500)),
+        (3, member("small-a", 120)),
+        (5, member("large-b", 500)),
+    ];
+    let rows = rows.into();
+    let rank = |host, millis| size_rank(&rows, &member(host, millis));
+    assert_eq!(rank("large-a", 500), Some(0));
+    assert_eq!(rank("large-b", 500), Some(1));
+    assert_eq!(rank("small-a", 120), Some(2));
+    assert_eq!(rank("small-b", 120), Some(3));
+    assert_eq!(rank("absent", 500), None);
+}
