Keep room and caps for gangs, and request advice where there is room

Change: gangs ask about workers with room, each in an order of its own, in parts of 40 through several hosts; small tasks take full workers and those that no gang waits for first; the first gang of a team holds its part of the cap; a gang that cannot complete its room reserves nothing; small gangs take fragments; very long calls leave half of the relays to others, and long calls of late jobs wait for idle ones. A line says why a gang waits, and one a second how full the cell is.

--- a/crates/pimentochute-work/src/advice.rs
+++ b/crates/pimentochute-work/src/advice.rs
@@ -21,8 +21,8 @@
     pub(crate) eligible: Vec<EligibleWorker>,
     /// The workers for which advice was received.
     pub(crate) answered: BTreeSet<WorkerKey>,
-    /// A request is in flight.
-    pub(crate) is_pending: bool,
+    /// The number of requests in flight.
+    pub(crate) pending: u32,
     /// The earliest time of the next request, on the cell's clock.
     pub(crate) retry_at: MilliTime,
 }
@@ -45,6 +45,11 @@
 }
 
 impl AdviceState {
+    /// Returns whether a request is in flight.
+    pub(crate) const fn is_pending(&self) -> bool {
+        self.pending > 0
+    }
+
     /// Returns the ticket for a worker; `None` if there is none or it has expired.
     pub(crate) fn ticket(&self, worker: WorkerKey, now: MilliTime) -> Option<&str> {
         let row = self.eligible.iter().find(|row| row.worker == worker)?;
@@ -66,7 +71,7 @@
 
     /// Replaces the advice about the `requested` workers by an answer.
     pub(crate) fn answer(&mut self, requested: &[WorkerKey], rows: Vec<EligibleWorker>) {
-        self.is_pending = false;
+        self.pending = self.pending.saturating_sub(1);
         self.answered.extend(requested);
         self.eligible
             .retain(|known| !requested.contains(&known.worker));
@@ -91,11 +96,15 @@
         self.eligible += eligible as u64;
     }
 
-    /// Returns how many workers to request so that about one and a half times the
-    /// `wanted` number, plus two, may run the step.
-    pub(crate) fn request_size(&self, wanted: usize) -> usize {
-        let wanted = wanted as u64 * 3 / 2 + 2;
-        let size = (wanted * self.requested).div_ceil(self.eligible.max(1));
-        usize::try_from(size).unwrap_or(usize::MAX)
+    /// Returns how many of something have to be requested so that `wanted` of them
+    /// are eligible.
+    pub(crate) fn requested_for(&self, wanted: u64) -> u64 {
+        (wanted * self.requested).div_ceil(self.eligible.max(1))
+    }
+
+    /// Returns how many slots to request so that about one and a half times the
+    /// `wanted` number of tasks, plus two, find one that is eligible.
+    pub(crate) fn requested_for_tasks(&self, wanted: u64) -> u64 {
+        self.requested_for(wanted * 3 / 2 + 2)
     }
 }
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod orders;
 mod place;
+mod place_gang;
 mod polls;
 mod rank;
 mod records;
@@ -49,7 +50,8 @@
 #[derive(Debug)]
 pub struct WorkCell {
     policy: CellPolicy,
-    /// The first fencing token of the owner's epoch.
+    /// The first fencing token of a worker that appears. It is above those of all
+    /// workers that were removed, since one of them may appear again.
     first_token: u64,
     /// On the owner's monotonic clock, which includes the time for which the
     /// host is suspended.
@@ -76,6 +78,8 @@
     eligibility_rates: BTreeMap<String, EligibilityRate>,
     /// The hosts that pass requests on to the advice service.
     relays: AdviceRelays,
+    /// The workers that the last placement round kept free for gangs.
+    reserved_workers: BTreeSet<WorkerKey>,
     /// A worker has accepted the token of a newer owner.
     is_superseded: bool,
     /// An event since the last placement round may allow another placement.
@@ -83,6 +87,7 @@
     last_placement_at: MilliTime,
     /// When leases, stalled runs and removed workers were last checked.
     last_maintenance_at: MilliTime,
+    last_usage_log_at: MilliTime,
     polls: PollSchedule,
     /// Jobs whose submission has to be recorded.
     submitted: Vec<JobKey>,
@@ -127,10 +132,12 @@
             backlog: BTreeSet::new(),
             eligibility_rates: BTreeMap::new(),
             relays: AdviceRelays::default(),
+            reserved_workers: BTreeSet::new(),
             is_superseded: false,
             needs_placement: true,
             last_placement_at: MilliTime::ZERO,
             last_maintenance_at: MilliTime::ZERO,
+            last_usage_log_at: now,
             polls: PollSchedule::default(),
             submitted: Vec::new(),
             dirty: BTreeSet::new(),
--- a/crates/pimentochute-work/src/cell/advise.rs
+++ b/crates/pimentochute-work/src/cell/advise.rs
@@ -1,11 +1,12 @@
 //! Requests to the advice service, which decides which workers may run a step.
 
-use crate::advice::EligibleWorker;
+use crate::advice::{EligibilityRate, EligibleWorker};
 use crate::effect::CellEffect;
 use crate::{AdviceCommand, AdviceRow, JobKey, QueueTerms, StepName, WorkerKey};
 use pimentochute_base::MilliSpan;
 
 use super::WorkCell;
+use super::place::RoundPlan;
 
 /// The longest list of workers in one request.
 const MAX_WORKERS_PER_REQUEST: usize = 100;
@@ -41,7 +42,7 @@
         };
         let job = &mut self.jobs[job_key];
         let step = job.step_name(step_index);
-        job.steps[step_index].advice.is_pending = true;
+        job.steps[step_index].advice.pending += 1;
         let ids = workers
             .iter()
             .map(|key| self.workers[*key].report.id.clone());
@@ -69,7 +70,7 @@
         let Some(rows) = rows else {
             log::warn!(step:% = command.step, adviser:% = command.relay; "cell: an advice request has no answer");
             let advice = &mut self.jobs[job_key].steps[step_index].advice;
-            advice.is_pending = false;
+            advice.pending = advice.pending.saturating_sub(1);
             advice.retry_at = now + RETRY_DELAY;
             return;
         };
@@ -106,6 +107,21 @@
         }
     }
 
+    /// Returns whether a round may request advice for the job that it considers.
+    pub(super) fn may_request(&self, terms: &QueueTerms, plan: &RoundPlan) -> bool {
+        terms
+            .advice_cost()
+            .is_some_and(|cost| !plan.is_late || self.relays.takes_late(cost.span(0)))
+    }
+
+    /// Returns which part of the workers may run the steps of a queue.
+    pub(super) fn eligibility_rate(&self, queue: &str) -> EligibilityRate {
+        self.eligibility_rates
+            .get(queue)
+            .copied()
+            .unwrap_or_default()
+    }
+
     fn find_step(&self, name: StepName) -> Option<(JobKey, usize)> {
         let key = *self.job_keys.get(&name.job)?;
         let job = &self.jobs[key];
--- a/crates/pimentochute-work/src/cell/place.rs
+++ b/crates/pimentochute-work/src/cell/place.rs
@@ -1,6 +1,6 @@
 //! Chooses the workers for the waiting tasks of a step.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pimentochute_base::ResourceAmount;
 
@@ -16,15 +16,33 @@
 pub(super) struct RoundPlan {
     /// Workers that are kept free for a gang of a job with a higher rank.
     pub(super) reserved: BTreeSet<WorkerKey>,
+    /// The demand of the first waiting gang of each team, which counts against the
+    /// team's cap for the jobs behind it. Otherwise their tasks would take each
+    /// part of the cap that becomes free.
+    pub(super) cap_holds: BTreeMap<String, ResourceAmount>,
     /// The demand of the tasks with an advice request in flight. The round ends
     /// once it exceeds the free resources by far.
     pub(super) requested_demand: ResourceAmount,
+    /// The job that is being placed is late already, so that its long requests for
+    /// advice wait while the relays are busy.
+    pub(super) is_late: bool,
     /// The largest amount of each resource that is free on any worker at the
     /// start of the round.
     pub(super) max_free: ResourceAmount,
 }
 
 impl RoundPlan {
+    /// Returns a demand of a team together with what is held for its first waiting
+    /// gang.
+    pub(super) fn with_cap_hold(
+        &self,
+        team: Option<&str>,
+        demand: ResourceAmount,
+    ) -> ResourceAmount {
+        let hold = team.and_then(|team| self.cap_holds.get(team));
+        demand + hold.copied().unwrap_or_default()
+    }
+
     /// Returns whether a task may fit on some worker. `false` is certain.
     fn may_fit(&self, demand: &ResourceAmount) -> bool {
         demand.fits_within(&self.max_free)
@@ -33,24 +51,17 @@
 
 /// A worker that may run tasks of a step.
 #[derive(Debug, Clone, Copy)]
-struct StepWorker {
-    worker_key: WorkerKey,
+pub(super) struct StepWorker {
+    pub(super) worker_key: WorkerKey,
     /// The number of further tasks of the step that fit now.
-    slots: u32,
+    pub(super) slots: u32,
     /// The number of further tasks of the step that would fit if the worker had
     /// no other runs.
-    max_slots: u32,
+    pub(super) max_slots: u32,
     /// There is a valid ticket for the worker, or the queue needs none.
-    may_start: bool,
+    pub(super) may_start: bool,
 }
 
-/// A gang reserves workers for this many times its tasks, so that enough of them
-/// become free sooner.
-const RESERVE_FACTOR: u32 = 2;
-
-/// At most one in this many workers is reserved for gangs.
-const MAX_RESERVED_DIVISOR: usize = 2;
-
 impl WorkCell {
     /// Places the waiting tasks of a step as far as possible, and requests advice
     /// if it is missing.
@@ -90,7 +101,8 @@
             if self.jobs[job_key].tasks[index].placement != TaskPlacement::Waiting {
                 continue;
             }
-            if !self.fits_team_cap(team.as_deref(), &spec.demand) {
+            let counted = plan.with_cap_hold(team.as_deref(), spec.demand);
+            if !self.fits_team_cap(team.as_deref(), &counted) {
                 return;
             }
             let Some(worker) = self.take_best_worker(job_key, index, spec, &mut usable) else {
@@ -107,7 +119,7 @@
 
     /// Takes a slot of the best worker for a task. In this order, a worker is
     /// preferred on which the task did not just fail, in the rack of the data,
-    /// with fewer failures, and with the least left free.
+    /// with fewer failures, that no gang waits for, and with the least left free.
     fn take_best_worker(
         &self,
         job_key: JobKey,
@@ -128,6 +140,7 @@
                 failed_on == Some(row.worker_key),
                 is_far,
                 worker.failures,
+                self.reserved_workers.contains(&row.worker_key),
                 leftover,
             )
         });
@@ -141,101 +154,8 @@
         Some(worker_key)
     }
 
-    fn place_gang(
-        &mut self,
-        job_key: JobKey,
-        step_index: usize,
-        terms: &QueueTerms,
-        spec: &StepSpec,
-        plan: &mut RoundPlan,
-    ) {
-        let state = &self.jobs[job_key].steps[step_index];
-        if state.waiting < spec.tasks {
-            return;
-        }
-        let team = self.jobs[job_key].submission.team.clone();
-        let all = total_demand(&spec.demand, spec.tasks);
-        if !self.fits_team_cap(team.as_deref(), &all) {
-            return;
-        }
-        let mut rows = self.step_workers(job_key, step_index, terms, spec, plan);
-        if spec.prefers_one_rack {
-            self.keep_best_rack(&mut rows, spec.tasks);
-        }
-        // Workers with many slots first, so that the gang uses few workers.
-        rows.sort_by_key(|row| std::cmp::Reverse((row.may_start, row.slots)));
-        let ready: u32 = rows
-            .iter()
-            .filter(|row| row.may_start)
-            .map(|row| row.slots)
-            .sum();
-        if ready >= spec.tasks {
-            self.place_gang_members(job_key, step_index, spec, &rows);
-            return;
-        }
-        let slots: u32 = rows.iter().map(|row| row.slots).sum();
-        if terms.advice.is_some() {
-            self.request_for_gang(job_key, step_index, terms, spec, &rows, slots >= spec.tasks);
-        }
-        self.reserve(&rows, spec.tasks, plan);
-    }
-
-    fn place_gang_members(
-        &mut self,
-        job_key: JobKey,
-        step_index: usize,
-        spec: &StepSpec,
-        rows: &[StepWorker],
-    ) {
-        self.share_checkpoint(job_key, step_index);
-        let members = self.jobs[job_key].task_range(step_index);
-        let last = self.jobs[job_key].tasks[members.clone()]
-            .iter()
-            .map(|task| task.run)
-            .max();
-        let run = last.unwrap_or(0) + 1;
-        let slots = rows.iter().filter(|row| row.may_start);
-        let slots = slots.flat_map(|row| (0..row.slots).map(|_| row.worker_key));
-        let slots: Vec<_> = slots.take(members.len()).collect();
-        for (index, worker) in members.zip(slots) {
-            self.place_task_run(job_key, index, worker, run, spec.demand);
-        }
-    }
-
-    /// Reserves workers for a gang that does not fit now.
-    fn reserve(&self, rows: &[StepWorker], tasks: u32, plan: &mut RoundPlan) {
-        let max_reserved = self.workers.len() / MAX_RESERVED_DIVISOR;
-        let mut wanted = tasks * RESERVE_FACTOR;
-        let mut rows: Vec<_> = rows.iter().collect();
-        rows.sort_by_key(|row| std::cmp::Reverse(row.slots));
-        for row in rows {
-            if wanted == 0 || plan.reserved.len() >= max_reserved {
-                return;
-            }
-            plan.reserved.insert(row.worker_key);
-            wanted = wanted.saturating_sub(row.max_slots);
-        }
-    }
-
-    /// Keeps only the rack with the most slots, if the gang fits there.
-    fn keep_best_rack(&self, rows: &mut Vec<StepWorker>, tasks: u32) {
-        let mut racks: std::collections::BTreeMap<&str, u32> = std::collections::BTreeMap::new();
-        for row in rows.iter() {
-            *racks
-                .entry(self.workers[row.worker_key].rack())
-                .or_default() += row.max_slots;
-        }
-        let best = racks.into_iter().max_by_key(|(_, max_slots)| *max_slots);
-        if let Some((rack, max_slots)) = best
-            && max_slots >= tasks
-        {
-            let rack = rack.to_owned();
-            rows.retain(|row| self.workers[row.worker_key].rack() == rack);
-        }
-    }
-
     /// Places a task on a worker. The start order is sent once the record is in the log.
-    fn place_task_run(
+    pub(super) fn place_task_run(
         &mut self,
         job_key: JobKey,
         index: usize,
@@ -262,7 +182,7 @@
 
     /// Returns the workers that may run a step, except reserved ones. If the queue
     /// needs advice, these are the workers that the service has named.
-    fn step_workers(
+    pub(super) fn step_workers(
         &self,
         job_key: JobKey,
         step_index: usize,
@@ -342,11 +262,11 @@
         if terms.advice.is_none() {
             return;
         }
-        if advice.is_pending {
+        if advice.is_pending() {
             plan.requested_demand += total_demand(&spec.demand, waiting);
             return;
         }
-        if advice.retry_at > self.now {
+        if advice.retry_at > self.now || !self.may_request(terms, plan) {
             return;
         }
         let has_capacity = |worker_key: &WorkerKey| {
@@ -369,22 +289,23 @@
                 .keys()
                 .filter(|worker_key| !advice.answered.contains(worker_key));
             let mut new: Vec<_> = new.filter(has_capacity).collect();
-            new.sort_by_key(|worker_key| {
-                std::cmp::Reverse(self.workers[*worker_key].free().cpu_millis)
+            // Full workers first, and those that a gang waits for last, so that
+            // whole workers become free for gangs.
+            new.sort_by_cached_key(|worker_key| {
+                (
+                    self.reserved_workers.contains(worker_key),
+                    self.workers[*worker_key].free().cpu_millis,
+                )
             });
-            let slots = new
-                .iter()
-                .map(|worker_key| slots_in(&self.workers[*worker_key].free(), &spec.demand));
-            let slots: u32 = slots.sum();
-            let per_worker = (slots as usize / new.len().max(1)).max(1);
-            let queue = &self.jobs[job_key].submission.queue;
-            let rate = self
-                .eligibility_rates
-                .get(queue)
-                .copied()
-                .unwrap_or_default();
-            new.truncate(rate.request_size((waiting as usize).div_ceil(per_worker)));
-            new
+            let rate = self.eligibility_rate(&self.jobs[job_key].submission.queue);
+            let mut missing = rate.requested_for_tasks(u64::from(waiting));
+            let chosen = new.into_iter().take_while(|worker_key| {
+                let is_needed = missing > 0;
+                let free = self.workers[*worker_key].free();
+                missing = missing.saturating_sub(u64::from(slots_in(&free, &spec.demand)));
+                is_needed
+            });
+            chosen.collect()
         } else {
             known
         };
@@ -394,42 +315,11 @@
         plan.requested_demand += total_demand(&spec.demand, waiting);
         self.request_advice(job_key, step_index, terms, &requested);
     }
-
-    /// Requests advice for a gang: again about the eligible workers if the gang
-    /// `fits` on them, or else about all workers that were not requested yet.
-    fn request_for_gang(
-        &mut self,
-        job_key: JobKey,
-        step_index: usize,
-        terms: &QueueTerms,
-        spec: &StepSpec,
-        rows: &[StepWorker],
-        fits: bool,
-    ) {
-        let advice = &self.jobs[job_key].steps[step_index].advice;
-        if advice.is_pending || advice.retry_at > self.now {
-            return;
-        }
-        let requested: Vec<_> = if fits {
-            rows.iter()
-                .filter(|row| row.slots > 0)
-                .map(|row| row.worker_key)
-                .collect()
-        } else {
-            let new = self.workers.iter().filter(|(worker_key, worker)| {
-                matches_step(worker, terms, spec) && !advice.answered.contains(worker_key)
-            });
-            new.map(|(worker_key, _)| worker_key).collect()
-        };
-        if !requested.is_empty() {
-            self.request_advice(job_key, step_index, terms, &requested);
-        }
-    }
 }
 
 /// Returns whether a worker is listed, is not draining, and has the pool and the
 /// label that a step requires.
-fn matches_step(worker: &WorkerState, terms: &QueueTerms, spec: &StepSpec) -> bool {
+pub(super) fn matches_step(worker: &WorkerState, terms: &QueueTerms, spec: &StepSpec) -> bool {
     worker.in_platform_list
         && !worker.report.is_draining
         && worker.report.pool == terms.pool
@@ -440,7 +330,7 @@
 }
 
 /// Returns how many tasks with a demand fit into the `free` resources.
-fn slots_in(free: &ResourceAmount, demand: &ResourceAmount) -> u32 {
+pub(super) fn slots_in(free: &ResourceAmount, demand: &ResourceAmount) -> u32 {
     let parts = [
         (free.cpu_millis, demand.cpu_millis),
         (free.memory_mib, demand.memory_mib),
@@ -455,7 +345,7 @@
 }
 
 /// Returns the demand of `tasks` tasks together.
-fn total_demand(demand: &ResourceAmount, tasks: u32) -> ResourceAmount {
+pub(super) fn total_demand(demand: &ResourceAmount, tasks: u32) -> ResourceAmount {
     let tasks = u64::from(tasks);
     ResourceAmount {
         cpu_millis: demand.cpu_millis.saturating_mul(tasks),
--- /dev/null
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -0,0 +1,306 @@
+//! Places gangs, whose tasks have to start together.
+//!
+//! A gang needs room for all of its tasks at the same time, on workers that the
+//! advice service allows. While it waits, it reserves the workers on which it can
+//! start soonest, so that smaller jobs behind it do not take each slot that becomes
+//! free. A gang that cannot complete its room reserves nothing: several of them
+//! would otherwise keep parts of the fleet idle and wait for each other's part.
+
+use std::collections::BTreeMap;
+
+use pimentochute_base::ResourceAmount;
+
+use crate::job::WaitReason;
+use crate::{JobKey, QueueTerms, StepSpec, WorkerKey};
+
+use super::WorkCell;
+use super::place::{RoundPlan, StepWorker, matches_step, slots_in, total_demand};
+
+/// A gang reserves workers for this many times its tasks, in percent, so that
+/// a run that takes long does not delay it.
+const RESERVE_PERCENT: u32 = 150;
+
+/// At most one in this many workers is reserved for gangs.
+const MAX_RESERVED_DIVISOR: usize = 2;
+
+/// Gangs that are late already reserve workers only while at most one in this many
+/// is reserved.
+const MAX_LATE_DIVISOR: usize = 8;
+
+/// A gang requests advice until it expects this many times its tasks to fit on
+/// eligible workers, in percent.
+const REQUEST_PERCENT: u64 = 200;
+
+/// While relays are idle, tickets are renewed once the gang would fit if this many
+/// percent more of its slots were free, so that the advice arrives with the last
+/// of them.
+const EARLY_TICKET_PERCENT: u32 = 50;
+
+/// The smallest number of workers in the first request of a gang.
+const MIN_REQUESTED: usize = 8;
+
+/// The largest number of workers that a gang requests advice about at a time.
+const MAX_REQUESTED: usize = 120;
+
+/// The largest number of workers in one of the requests of a gang, which are made
+/// through several hosts at the same time.
+const MAX_PER_REQUEST: usize = 40;
+
+impl WorkCell {
+    pub(super) fn place_gang(
+        &mut self,
+        job_key: JobKey,
+        step_index: usize,
+        terms: &QueueTerms,
+        spec: &StepSpec,
+        plan: &mut RoundPlan,
+    ) {
+        let state = &self.jobs[job_key].steps[step_index];
+        if state.waiting < spec.tasks {
+            return;
+        }
+        let team = self.jobs[job_key].submission.team.clone();
+        let all = total_demand(&spec.demand, spec.tasks);
+        let counted = plan.with_cap_hold(team.as_deref(), all);
+        if !self.fits_team_cap(team.as_deref(), &counted) {
+            self.note_gang_wait(job_key, step_index, Some(WaitReason::TeamCap));
+            self.hold_cap(team, all, plan);
+            return;
+        }
+        let mut rows = self.step_workers(job_key, step_index, terms, spec, plan);
+        if spec.prefers_one_rack {
+            self.keep_best_rack(&mut rows, spec.tasks);
+        }
+        let ready: u32 = rows
+            .iter()
+            .filter(|row| row.may_start)
+            .map(|row| row.slots)
+            .sum();
+        if ready >= spec.tasks {
+            self.note_gang_wait(job_key, step_index, None);
+            rows.retain(|row| row.may_start && row.slots > 0);
+            self.place_gang_members(job_key, step_index, spec, rows);
+            return;
+        }
+        let slots: u32 = rows.iter().map(|row| row.slots).sum();
+        let max_slots: u32 = rows.iter().map(|row| row.max_slots).sum();
+        let reason = if slots >= spec.tasks {
+            WaitReason::Tickets
+        } else if max_slots < spec.tasks {
+            WaitReason::Advice
+        } else {
+            WaitReason::Room
+        };
+        self.note_gang_wait(job_key, step_index, Some(reason));
+        if self.may_request(terms, plan) {
+            self.request_for_gang(job_key, step_index, terms, spec, &rows, plan);
+        }
+        self.hold_cap(team, all, plan);
+        if max_slots >= spec.tasks {
+            self.reserve(rows, spec, plan);
+        }
+    }
+
+    /// Holds a part of the team's cap for a gang that waits, unless one with a
+    /// higher rank waits already or the gang alone exceeds the cap.
+    fn hold_cap(&self, team: Option<String>, all: ResourceAmount, plan: &mut RoundPlan) {
+        if let Some(team) = team
+            && self.is_within_cap(&team, &all)
+        {
+            plan.cap_holds.entry(team).or_insert(all);
+        }
+    }
+
+    /// Logs why a gang waits, when the reason changes.
+    fn note_gang_wait(&mut self, job_key: JobKey, step_index: usize, reason: Option<WaitReason>) {
+        let job = &mut self.jobs[job_key];
+        let step = job.step_name(step_index);
+        let known = std::mem::replace(&mut job.steps[step_index].wait_reason, reason);
+        if known != reason
+            && let Some(reason) = reason
+        {
+            let reason: &str = reason.into();
+            log::info!(step:%, reason; "cell: a gang waits");
+        }
+    }
+
+    fn place_gang_members(
+        &mut self,
+        job_key: JobKey,
+        step_index: usize,
+        spec: &StepSpec,
+        rows: Vec<StepWorker>,
+    ) {
+        self.share_checkpoint(job_key, step_index);
+        let members = self.jobs[job_key].task_range(step_index);
+        let last = self.jobs[job_key].tasks[members.clone()]
+            .iter()
+            .map(|task| task.run)
+            .max();
+        let run = last.unwrap_or(0) + 1;
+        for (index, worker) in members.zip(gang_slots(rows, spec.tasks)) {
+            self.place_task_run(job_key, index, worker, run, spec.demand);
+        }
+    }
+
+    /// Reserves workers for a gang that does not fit now, those that lack the least
+    /// for its tasks first.
+    fn reserve(&self, rows: Vec<StepWorker>, spec: &StepSpec, plan: &mut RoundPlan) {
+        let divisor = if plan.is_late {
+            MAX_LATE_DIVISOR
+        } else {
+            MAX_RESERVED_DIVISOR
+        };
+        let max_reserved = self.workers.len() / divisor;
+        let mut wanted = (spec.tasks * RESERVE_PERCENT).div_ceil(100);
+        let mut rows = rows;
+        rows.sort_by_cached_key(|row| {
+            let free = self.workers[row.worker_key].free();
+            std::cmp::Reverse(fill_permille(&free, &spec.demand, row.max_slots))
+        });
+        for row in rows {
+            if wanted == 0 || plan.reserved.len() >= max_reserved {
+                return;
+            }
+            plan.reserved.insert(row.worker_key);
+            wanted = wanted.saturating_sub(row.max_slots);
+        }
+    }
+
+    /// Keeps only the rack with the most slots, if the gang fits there.
+    fn keep_best_rack(&self, rows: &mut Vec<StepWorker>, tasks: u32) {
+        let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
+        for row in rows.iter() {
+            *racks
+                .entry(self.workers[row.worker_key].rack())
+                .or_default() += row.max_slots;
+        }
+        let best = racks.into_iter().max_by_key(|(_, max_slots)| *max_slots);
+        if let Some((rack, max_slots)) = best
+            && max_slots >= tasks
+        {
+            let rack = rack.to_owned();
+            rows.retain(|row| self.workers[row.worker_key].rack() == rack);
+        }
+    }
+
+    /// Requests advice for a gang: again about eligible workers with room for all
+    /// of it, whose tickets have expired, or else about further workers.
+    fn request_for_gang(
+        &mut self,
+        job_key: JobKey,
+        step_index: usize,
+        terms: &QueueTerms,
+        spec: &StepSpec,
+        rows: &[StepWorker],
+        plan: &RoundPlan,
+    ) {
+        let advice = &self.jobs[job_key].steps[step_index].advice;
+        if advice.is_pending() || advice.retry_at > self.now {
+            return;
+        }
+        let slots: u32 = rows.iter().map(|row| row.slots).sum();
+        let expected = if self.relays.has_spare() {
+            slots + slots * EARLY_TICKET_PERCENT / 100
+        } else {
+            slots
+        };
+        let has_tickets = rows.iter().all(|row| row.may_start || row.slots == 0);
+        let requested = if expected >= spec.tasks && !has_tickets {
+            let rows = rows.iter().filter(|row| row.slots > 0);
+            rows.map(|row| row.worker_key).collect()
+        } else {
+            self.new_gang_workers(job_key, step_index, terms, spec, slots, plan)
+        };
+        for part in requested.chunks(MAX_PER_REQUEST) {
+            self.request_advice(job_key, step_index, terms, part);
+        }
+    }
+
+    /// Returns further workers to request advice about for a gang that fits with
+    /// `slots` tasks on the eligible ones: those with the most room first, and in an
+    /// order of its own, so that gangs that arrive together do not compete for the
+    /// same workers.
+    fn new_gang_workers(
+        &self,
+        job_key: JobKey,
+        step_index: usize,
+        terms: &QueueTerms,
+        spec: &StepSpec,
+        slots: u32,
+        plan: &RoundPlan,
+    ) -> Vec<WorkerKey> {
+        let job = &self.jobs[job_key];
+        let advice = &job.steps[step_index].advice;
+        let mut new: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(worker_key, worker)| {
+                matches_step(worker, terms, spec)
+                    && !advice.answered.contains(worker_key)
+                    && !plan.reserved.contains(worker_key)
+            })
+            .enumerate()
+            .map(|(index, (worker_key, worker))| {
+                let free = if worker.takes_runs(self.now) {
+                    slots_in(&worker.free(), &spec.demand).min(spec.tasks)
+                } else {
+                    0
+                };
+                let order = spread_order(job.code.get(), index);
+                (std::cmp::Reverse(free), order, worker_key)
+            })
+            .collect();
+        new.sort_unstable();
+        let rate = self.eligibility_rate(&job.submission.queue);
+        let wanted = u64::from(spec.tasks) * REQUEST_PERCENT / 100;
+        let mut missing = rate.requested_for(wanted.saturating_sub(u64::from(slots)));
+        let mut chosen = Vec::new();
+        for (std::cmp::Reverse(free), _, worker_key) in new {
+            if chosen.len() >= MAX_REQUESTED || missing == 0 && chosen.len() >= MIN_REQUESTED {
+                break;
+            }
+            missing = missing.saturating_sub(u64::from(free));
+            chosen.push(worker_key);
+        }
+        chosen
+    }
+}
+
+/// Returns the worker of each task of a gang. Whole workers are left to others
+/// where possible: a part that fits on one worker goes to the one with the least
+/// room for it.
+fn gang_slots(mut rows: Vec<StepWorker>, tasks: u32) -> Vec<WorkerKey> {
+    rows.sort_by_key(|row| row.slots);
+    let mut chosen = Vec::with_capacity(tasks as usize);
+    let mut left = tasks;
+    while left > 0 && !rows.is_empty() {
+        let fitting = rows.partition_point(|row| row.slots < left);
+        let row = rows.remove(fitting.min(rows.len() - 1));
+        let taken = row.slots.min(left);
+        chosen.extend(std::iter::repeat_n(row.worker_key, taken as usize));
+        left -= taken;
+    }
+    chosen
+}
+
+/// Returns how much of the room for `slots` tasks is free, in thousandths of a task.
+fn fill_permille(free: &ResourceAmount, demand: &ResourceAmount, slots: u32) -> u64 {
+    let parts = [
+        (free.cpu_millis, demand.cpu_millis),
+        (free.memory_mib, demand.memory_mib),
+        (free.accelerators, demand.accelerators),
+    ];
+    let parts = parts.into_iter().filter(|(_, demand)| *demand > 0);
+    let filled = parts.map(|(free, demand)| free.saturating_mul(1_000) / demand);
+    let limit = u64::from(slots) * 1_000;
+    filled.min().map_or(limit, |filled| filled.min(limit))
+}
+
+/// Returns a key that orders workers differently for each job.
+fn spread_order(job: u64, index: usize) -> u64 {
+    // The multiplier of Fibonacci hashing, 2^64 divided by the golden ratio.
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mixed = (job ^ (index as u64).wrapping_mul(MULTIPLIER)).wrapping_mul(MULTIPLIER);
+    mixed ^ (mixed >> 32)
+}
--- a/crates/pimentochute-work/src/cell/rank.rs
+++ b/crates/pimentochute-work/src/cell/rank.rs
@@ -33,6 +33,14 @@
     TooLate,
 }
 
+impl JobRank {
+    /// Returns whether the job can end within its objective, and its team submits
+    /// within its rate.
+    pub(super) fn is_on_time(&self) -> bool {
+        self.rate == RateStatus::Within && self.prospect == JobProspect::OnTime
+    }
+}
+
 impl WorkCell {
     /// Returns the waiting jobs in the order of their ranks.
     pub(super) fn ranked_backlog(&self) -> Vec<JobRank> {
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -22,6 +22,9 @@
 /// further apart.
 const MIN_PLACEMENT_INTERVAL: MilliSpan = MilliSpan::new(4);
 
+/// The interval between two log lines about the usage of the cell.
+const USAGE_LOG_INTERVAL: MilliSpan = MilliSpan::new(1_000);
+
 /// No tasks are placed while a batch has waited for the log for this long, since
 /// they would start too late.
 const MAX_RECORD_DELAY: MilliSpan = MilliSpan::new(1_000);
@@ -35,6 +38,7 @@
             self.stop_stalled();
             self.expire_jobs();
             self.remove_departed();
+            self.log_usage();
         }
         if self.needs_placement && self.placement_due() <= self.now {
             self.needs_placement = false;
@@ -56,6 +60,31 @@
         self.needs_placement = true;
     }
 
+    /// Logs how full the cell is, for those who look into waiting jobs later.
+    fn log_usage(&mut self) {
+        if self.now.since(self.last_usage_log_at) < USAGE_LOG_INTERVAL {
+            return;
+        }
+        self.last_usage_log_at = self.now;
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| worker.takes_runs(self.now));
+        let capacity: ResourceAmount = usable.map(|worker| worker.report.capacity).sum();
+        let committed: ResourceAmount = self.workers.values().map(|worker| worker.committed).sum();
+        log::info!(
+            jobs = self.open_jobs,
+            waiting = self.backlog.len(),
+            workers = self.workers.len(),
+            reserved = self.reserved_workers.len(),
+            capacity_millis = capacity.cpu_millis,
+            committed_millis = committed.cpu_millis,
+            capacity_mib = capacity.memory_mib,
+            committed_mib = committed.memory_mib;
+            "cell: usage"
+        );
+    }
+
     fn place_backlog(&mut self) {
         let (_, _, oldest) = self.batches();
         let is_slow = oldest > MAX_RECORD_DELAY;
@@ -75,13 +104,15 @@
                     job.steps[*index].waiting > 0 && job.is_ready(*index, self.unix_now)
                 })
                 .collect();
+            plan.is_late = !rank.is_on_time();
             for step_index in steps {
                 self.place_step(rank.key, step_index, &terms, &mut plan);
             }
             if plan.requested_demand.cpu_millis > free.cpu_millis.saturating_mul(2) {
-                return;
+                break;
             }
         }
+        self.reserved_workers = plan.reserved;
     }
 
     /// Returns the largest free amount of each resource on any worker.
--- a/crates/pimentochute-work/src/cell/teams.rs
+++ b/crates/pimentochute-work/src/cell/teams.rs
@@ -60,10 +60,13 @@
         };
         let placed = self.teams.get(team).map(|state| state.placed_demand);
         let total = placed.unwrap_or_default() + *demand;
-        let within = |part: u64, cap: u64| cap == 0 || part <= cap;
-        within(total.cpu_millis, config.cap.cpu_millis)
-            && within(total.memory_mib, config.cap.memory_mib)
-            && within(total.accelerators, config.cap.accelerators)
+        fits_cap(&total, &config.cap)
+    }
+
+    /// Returns whether `demand` alone is within the cap of a team.
+    pub(super) fn is_within_cap(&self, team: &str, demand: &ResourceAmount) -> bool {
+        let config = self.config.teams.get(team);
+        config.is_none_or(|config| fits_cap(demand, &config.cap))
     }
 
     /// Adds the demand of a run to its team's usage, or subtracts it.
@@ -86,3 +89,11 @@
         }
     }
 }
+
+/// Returns whether `total` is within `cap`, in which 0 means no limit.
+fn fits_cap(total: &ResourceAmount, cap: &ResourceAmount) -> bool {
+    let within = |part: u64, cap: u64| cap == 0 || part <= cap;
+    within(total.cpu_millis, cap.cpu_millis)
+        && within(total.memory_mib, cap.memory_mib)
+        && within(total.accelerators, cap.accelerators)
+}
--- a/crates/pimentochute-work/src/ids.rs
+++ b/crates/pimentochute-work/src/ids.rs
@@ -57,6 +57,12 @@
     pub const fn new(code: u64) -> Self {
         Self(code)
     }
+
+    /// Returns the identifier as a number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for JobCode {
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -88,6 +88,20 @@
     Done,
 }
 
+/// Why a gang waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum WaitReason {
+    /// The team would exceed its cap.
+    TeamCap,
+    /// The advice service has not said enough about the workers.
+    Advice,
+    /// The eligible workers have room, but the tickets have expired.
+    Tickets,
+    /// The eligible workers have not enough free resources.
+    Room,
+}
+
 /// The furthest checkpoint of a gang.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct GangCheckpoint {
@@ -105,6 +119,9 @@
     /// The number of tasks that wait for a worker.
     pub(crate) waiting: u32,
     pub(crate) advice: AdviceState,
+    /// Why the step was not placed in the last round in which it was considered;
+    /// `None` if it was placed.
+    pub(crate) wait_reason: Option<WaitReason>,
     /// The last run of the gang whose failure was counted; 0 if none was.
     pub(crate) last_failed_run: u32,
     /// The longest time that the failed runs of one task took.
--- a/crates/pimentochute-work/src/relays.rs
+++ b/crates/pimentochute-work/src/relays.rs
@@ -4,7 +4,8 @@
 //! not abandon calls whose caller has given up. A host therefore gets only as
 //! many calls as keep it busy. A request that finds no host with capacity is
 //! dropped; a later placement round makes it again in the order of ranks. Some
-//! hosts take only short calls, which would otherwise wait behind long ones.
+//! hosts take only short calls and some no very long ones, since shorter calls
+//! would otherwise wait behind them.
 
 use std::collections::BTreeMap;
 
@@ -13,9 +14,18 @@
 /// A call that takes longer than this is a long one.
 const LONG_CALL: MilliSpan = MilliSpan::new(40);
 
+/// A call that takes longer than this is a very long one.
+const VERY_LONG_CALL: MilliSpan = MilliSpan::new(200);
+
 /// One host in this many takes only short calls.
 const HOSTS_PER_SHORT_ONLY: usize = 3;
 
+/// One host in this many takes no very long calls.
+const HOSTS_PER_NOT_VERY_LONG: usize = 2;
+
+/// One host in this many has to be idle for requests of jobs that are late already.
+const HOSTS_PER_SPARE: usize = 2;
+
 /// The largest number of long calls through one host: one that is handled and one
 /// that follows at once.
 const MAX_LONG: usize = 2;
@@ -59,7 +69,9 @@
     ) -> Option<(String, MilliSpan)> {
         let is_long = span > LONG_CALL;
         let max_open = if is_long { MAX_LONG } else { MAX_OPEN };
-        let reserved = if is_long {
+        let reserved = if span > VERY_LONG_CALL {
+            self.hosts.len() / HOSTS_PER_NOT_VERY_LONG
+        } else if is_long {
             self.hosts.len() / HOSTS_PER_SHORT_ONLY
         } else {
             0
@@ -81,6 +93,18 @@
         Some((host, load.busy_until.since(now)))
     }
 
+    /// Returns whether a call that takes `span` may be made for a job that is late
+    /// already: it is short, or enough hosts are idle.
+    pub(crate) fn takes_late(&self, span: MilliSpan) -> bool {
+        span <= LONG_CALL || self.has_spare()
+    }
+
+    /// Returns whether many hosts are idle.
+    pub(crate) fn has_spare(&self) -> bool {
+        let idle = self.hosts.iter().filter(|host| self.load(host).open == 0);
+        idle.count() * HOSTS_PER_SPARE >= self.hosts.len()
+    }
+
     /// Removes a call that has ended from the load of its host.
     pub(crate) fn call_finished(&mut self, host: &str) {
         if let Some(load) = self.loads.get_mut(host) {
