--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -305,8 +305,8 @@
         let detector = *self.detector();
         // A takeover costs time and traffic: an owner that may only be slow gets
         // longer the more takeovers there were.
-        let is_paced = detector.is_refused() || view.pacing.may_replace(view.received_at, now);
-        let has_failed = is_paced && detector.has_failed(claim.epoch, delay, now);
+        let may_replace = detector.is_refused() || view.pacing.may_replace(view.received_at, now);
+        let has_failed = may_replace && detector.has_failed(claim.epoch, delay, now);
         // The list may omit a working owner, so a missed ping is required as
         // well.
         let has_left = rank == 0 && self.group.has_left(&claim.member, view.received_at);
--- a/crates/pimentochute-edge/src/owner_monitor.rs
+++ b/crates/pimentochute-edge/src/owner_monitor.rs
@@ -1,6 +1,6 @@
 //! Pings the owner, asks other hosts about it and reads its heartbeats, to detect
-//! its failure. The owner itself is not asked as a witness. Log lines of this module have the
-//! prefix `claim:`; [`OwnerVerdict`] says what each verdict means.
+//! its failure. The owner itself is not asked as a witness. Log lines of this
+//! module have the prefix `claim:`; [`OwnerVerdict`] says what each verdict means.
 
 use std::sync::Arc;
 
--- a/crates/pimentochute-work/src/cell/place_gang.rs
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -47,6 +47,8 @@
 const MAX_PER_REQUEST: usize = 40;
 
 impl WorkCell {
+    /// Places a gang if all of its tasks fit at the same time. Otherwise requests
+    /// the advice that it lacks, and reserves what it needs.
     pub(super) fn place_gang(
         &mut self,
         job_key: JobKey,
