Do not refuse a job as not run that the owner still tries to record

Cause: an owner that cannot write answers forwarded jobs with 'not the owner', so that their host appends them itself or refuses them as not run. It did so for jobs as well that it had accepted before and whose batch it goes on appending. A caller that got 504 and sent the job again was told 503, not run, and the job ran once the log was back. Now only jobs that the owner does not know are given back; the others end as unknown. Test: edge_hosts jobs_that_the_owner_still_tries_to_record_are_not_refused_when_sent_again (fails before: 'job 300 was refused as not run, and ran').

--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -181,10 +181,12 @@
                     }
                 }
             }
-            // The host that forwards the job then appends it itself. A job that
-            // this owner accepted could no longer be refused as not run.
-            CellInput::ForwardedJob(_, reply)
-                if self.has_lost_log() || self.heartbeat.has_failed() =>
+            // The host that forwards the job then appends it itself, or refuses it
+            // as not run. That would be wrong for a job that this owner already
+            // tries to record.
+            CellInput::ForwardedJob(job, reply)
+                if (self.has_lost_log() || self.heartbeat.has_failed())
+                    && self.cell.state(job.job).is_none() =>
             {
                 send_reply(reply, OwnerAnswer::NotOwner);
             }
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -191,6 +191,51 @@
     assert_eq!(refused.count(), 0, "a refused job ran");
 }
 
+/// The owner accepted the jobs just before the log refused it, and goes on trying to
+/// record them. Their callers got no answer and send them again: a refusal as not
+/// run would be wrong, since the jobs run once the log is back.
+#[tokio::test]
+async fn jobs_that_the_owner_still_tries_to_record_are_not_refused_when_sent_again() {
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    let cell = cell(&platform).await;
+    assert_eq!(submit(&cell, 0, 1).await.status, 200);
+    let owner = cell.owner().expect("the cell has an owner");
+    let others = [(owner + 1) % 3, (owner + 2) % 3];
+    for host in 0..3 {
+        platform.set_fault(&format!("host-{host}"), Some(StoreFault::Refuse));
+    }
+    let first = futures::future::join_all((300..304).map(|job| submit(&cell, others[0], job)));
+    let first = first.await;
+    assert!(
+        first.iter().any(|reply| reply.status == 504),
+        "the owner accepted none of the jobs: {first:?}"
+    );
+    let again = futures::future::join_all((300..304).map(|job| submit(&cell, others[1], job)));
+    let again = again.await;
+    for host in 0..3 {
+        platform.set_fault(&format!("host-{host}"), None);
+    }
+    until("the hosts are ready", 5, async || cell.is_ready(0).await).await;
+    for (job, reply) in (300_u64..).zip(&again) {
+        if reply.status != 503 {
+            until("the job is completed", 10, async || {
+                submit(&cell, 0, job).await.status == 200 && is_completed(&cell, 0, job).await
+            })
+            .await;
+        }
+    }
+    let started = platform.start_counts();
+    for (job, reply) in (300_u64..).zip(&again) {
+        let has_run = started
+            .keys()
+            .any(|task| task.starts_with(&format!("{job:016x}")));
+        assert!(
+            reply.status != 503 || !has_run,
+            "job {job} was refused as not run, and ran"
+        );
+    }
+}
+
 /// The append took effect but its answer was lost, so the host must not refuse
 /// the job as one that will not run.
 #[tokio::test]
