Count only higher heartbeats as signs of life

Cause (read from the code): any change of the newest heartbeat reset the time for which the owner was silent. An append without an answer may be carried out seconds later, after newer ones, and a former owner that was paused may write over the newest one; both kept an owner that was gone for up to 750 ms longer each. Test: edge_owner_watch late_heartbeats_and_those_of_others_do_not_keep_an_owner (fails before the change).

--- a/crates/pimentochute-edge/src/failure_detector.rs
+++ b/crates/pimentochute-edge/src/failure_detector.rs
@@ -120,10 +120,12 @@
     }
 
     /// Records the number of the newest heartbeat of the owner of `epoch` in the
-    /// log, read at `now`; `None` if there is none.
+    /// log, read at `now`; `None` if there is none. Only a higher number than before
+    /// counts: the log may carry out earlier appends late, and a former owner may
+    /// have written over the newest one.
     pub fn record_heartbeat(&mut self, epoch: EpochNumber, number: Option<u64>, now: MilliTime) {
         self.follow_epoch(epoch);
-        if self.heartbeat.is_none_or(|(known, _)| known != number) {
+        if self.heartbeat.is_none_or(|(known, _)| known < number) {
             self.heartbeat = Some((number, now));
         }
     }
--- a/tests/tests/edge_owner_watch.rs
+++ b/tests/tests/edge_owner_watch.rs
@@ -138,6 +138,21 @@
     assert!(has_failed(&detector, 4_400));
 }
 
+/// The log may carry out an append without an answer seconds later, after newer ones,
+/// and a former owner that was paused may write over the newest heartbeat. Neither
+/// shows that the present owner works.
+#[test]
+fn late_heartbeats_and_those_of_others_do_not_keep_an_owner() {
+    for newest in [Some(6), None] {
+        let mut detector = healthy_detector();
+        detector.record_heartbeat(OWNER, Some(7), MilliTime::new(1_000));
+        detector.record_call(OWNER, false, &[], MilliTime::new(1_300));
+        detector.record_call(OWNER, false, &[Unreachable], MilliTime::new(1_700));
+        detector.record_heartbeat(OWNER, newest, MilliTime::new(1_700));
+        assert!(has_failed(&detector, 1_750), "after {newest:?}");
+    }
+}
+
 #[test]
 fn heartbeats_of_a_former_owner_say_nothing_about_the_next_one() {
     let mut detector = healthy_detector();
