--- a/crates/pimentochute-platform/src/http_client.rs
+++ b/crates/pimentochute-platform/src/http_client.rs
@@ -75,7 +75,7 @@
     pub headers: HeaderMap,
     /// Whether the answer states that the request was not run.
     pub not_run: bool,
-    /// The body.
+    /// The body, complete and within the limit of the client.
     pub body: Bytes,
 }
 
--- a/crates/pimentochute-platform/src/worker.rs
+++ b/crates/pimentochute-platform/src/worker.rs
@@ -134,7 +134,7 @@
 /// The state of a task on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskReport {
-    /// The attempt.
+    /// The attempt that the worker was told to run.
     pub attempt: AttemptRef,
     /// Whether the attempt runs, or how it ended.
     pub status: TaskStatus,
--- a/crates/pimentochute-state/src/outcome.rs
+++ b/crates/pimentochute-state/src/outcome.rs
@@ -69,7 +69,7 @@
     /// A worker is available; attempts on its previous incarnation have ended as
     /// [`EndReason::Expired`].
     WorkerSeen {
-        /// The worker.
+        /// The worker, which keeps its name when it restarts.
         worker: WorkerName,
         /// The incarnation of its process.
         incarnation: WorkerIncarnation,
@@ -94,7 +94,7 @@
     SliceClaimed {
         /// The slice.
         slice: SliceIndex,
-        /// The owner.
+        /// The host that owns the slice from now on.
         host: HostName,
         /// The incarnation of the owner's process.
         incarnation: HostIncarnation,
@@ -156,7 +156,7 @@
     /// A field of the job is out of range.
     #[display("{field} of the job is out of range; hint: check the limits")]
     BadJob {
-        /// The field.
+        /// The name of the field, for the message.
         field: &'static str,
     },
     /// A limit of the cell is reached.
--- a/crates/pimentochute-state/src/patch.rs
+++ b/crates/pimentochute-state/src/patch.rs
@@ -148,7 +148,7 @@
         "queue {queue} does not match its kind; hint: name a service for requests and for nothing else"
     )]
     BadQueueService {
-        /// The queue.
+        /// The queue whose kind and service contradict each other.
         queue: QueueName,
     },
     /// There are too many queues.
--- a/crates/pimentochute-state/src/record.rs
+++ b/crates/pimentochute-state/src/record.rs
@@ -44,7 +44,7 @@
 pub enum CellRecord {
     /// A job was submitted.
     JobSubmitted {
-        /// The job.
+        /// The job as it was submitted.
         spec: JobSpec,
         /// When it was submitted.
         at: MilliTime,
@@ -134,7 +134,7 @@
     },
     /// A host claims the ownership of a slice.
     SliceClaimed {
-        /// The slice.
+        /// The slice that changes its owner.
         slice: SliceIndex,
         /// The new owner.
         host: HostName,
--- a/crates/pimentochute-work/src/cell/place_gang.rs
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -1,10 +1,11 @@
 //! Places gangs, whose tasks have to start together.
 //!
-//! A gang needs room for all of its tasks at the same time, on workers that the
-//! advice service allows. While it waits, it reserves the workers on which it can
+//! A gang needs free resources for all of its tasks at the same time, on workers
+//! that the advice service allows. While it waits, it reserves the workers on which it can
 //! start soonest, so that smaller jobs behind it do not take each slot that becomes
-//! free. A gang that cannot complete its room reserves nothing: several of them
-//! would otherwise keep parts of the fleet idle and wait for each other's part.
+//! free. A gang that does not fit on the workers that it knows reserves none:
+//! several of them would otherwise keep parts of the fleet idle and wait for each
+//! other's part.
 
 use std::collections::BTreeMap;
 
@@ -91,7 +92,7 @@
         } else if max_slots < spec.tasks {
             WaitReason::Advice
         } else {
-            WaitReason::Room
+            WaitReason::Resources
         };
         self.note_gang_wait(job_key, step_index, Some(reason));
         if self.may_request(terms, plan) {
@@ -186,8 +187,8 @@
         }
     }
 
-    /// Requests advice for a gang: again about eligible workers with room for all
-    /// of it, whose tickets have expired, or else about further workers.
+    /// Requests advice for a gang: again about eligible workers on which all of
+    /// it fits, whose tickets have expired, or else about further workers.
     fn request_for_gang(
         &mut self,
         job_key: JobKey,
@@ -220,7 +221,7 @@
     }
 
     /// Returns further workers to request advice about for a gang that fits with
-    /// `slots` tasks on the eligible ones: those with the most room first, and in an
+    /// `slots` tasks on the eligible ones: those with the most free slots first, and in an
     /// order of its own, so that gangs that arrive together do not compete for the
     /// same workers.
     fn new_gang_workers(
@@ -270,8 +271,8 @@
 }
 
 /// Returns the worker of each task of a gang. Whole workers are left to others
-/// where possible: a part that fits on one worker goes to the one with the least
-/// room for it.
+/// where possible: a part that fits on one worker goes to the one with the fewest
+/// free slots for it.
 fn gang_slots(mut rows: Vec<StepWorker>, tasks: u32) -> Vec<WorkerKey> {
     rows.sort_by_key(|row| row.slots);
     let mut chosen = Vec::with_capacity(tasks as usize);
@@ -286,7 +287,8 @@
     chosen
 }
 
-/// Returns how much of the room for `slots` tasks is free, in thousandths of a task.
+/// Returns for how many of `slots` tasks a worker has free resources, in thousandths
+/// of a task.
 fn fill_permille(free: &ResourceAmount, demand: &ResourceAmount, slots: u32) -> u64 {
     let parts = [
         (free.cpu_millis, demand.cpu_millis),
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -60,7 +60,7 @@
         self.needs_placement = true;
     }
 
-    /// Logs how full the cell is, for those who look into waiting jobs later.
+    /// Logs the resources in use, which tell later why jobs waited.
     fn log_usage(&mut self) {
         if self.now.since(self.last_usage_log_at) < USAGE_LOG_INTERVAL {
             return;
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -96,10 +96,10 @@
     TeamCap,
     /// The advice service has not said enough about the workers.
     Advice,
-    /// The eligible workers have room, but the tickets have expired.
+    /// The eligible workers have enough free resources, but the tickets have expired.
     Tickets,
     /// The eligible workers have not enough free resources.
-    Room,
+    Resources,
 }
 
 /// The furthest checkpoint of a gang.
--- a/tests/tests/work_gangs.rs
+++ b/tests/tests/work_gangs.rs
@@ -77,7 +77,7 @@
 /// Pattern "gang in a nearly full cell": an answer about a full worker is of no use
 /// before its ticket expires.
 #[test]
-fn a_gang_requests_advice_about_workers_with_room_first() {
+fn a_gang_requests_advice_about_workers_with_free_slots_first() {
     let mut test = TestCell::new(1);
     test.add_workers(60, 16_000);
     let full = placed(&mut test, 1, PLAIN, job(40, 16_000)).starts;
@@ -193,7 +193,7 @@
     assert_eq!(test.cell.state(JobCode::new(1)), Some(JobStatus::Queued));
 }
 
-/// Pattern "small gangs break up empty workers": wide gangs then find no room.
+/// Pattern "small gangs break up empty workers": wide gangs then find no free workers.
 #[test]
 fn a_small_gang_takes_a_fragment_before_an_empty_worker() {
     let mut test = TestCell::new(1);
@@ -246,11 +246,10 @@
     );
 }
 
-/// Pattern "gangs that each hold a part": wide gangs kept the few eligible workers
-/// idle that they knew, and none of them could start. On a fleet of 540 workers, 305
-/// were reserved while 0.45 of the processors were in use and 180 jobs waited.
+/// Pattern "gangs that each hold a part": wide gangs reserved the few eligible workers
+/// that they knew, none of them could start, and the workers stayed idle.
 #[test]
-fn a_gang_that_cannot_complete_its_room_reserves_nothing() {
+fn a_gang_that_does_not_fit_on_the_workers_it_knows_reserves_none() {
     let mut test = TestCell::new(1);
     test.add_workers(10, 4_000);
     let requests = placed(&mut test, 1, ADVISED, gang(8, 4_000)).requests;
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -495,8 +495,8 @@
     assert_eq!(test.record().starts.len(), 1);
 }
 
-/// Pattern "starts into a cut": the workers of a data centre that is cut off answer
-/// no start. The job was no longer counted as waiting, although no task had begun.
+/// Pattern "starts into a network partition": the workers of a data centre that is cut
+/// off answer no start. The job was no longer counted as waiting, although no task had begun.
 #[test]
 fn a_job_whose_start_has_no_answer_still_counts_as_waiting() {
     let mut test = TestCell::new(1);
@@ -519,7 +519,7 @@
     assert_eq!(test.cell.state(JobCode::new(1)), Some(JobStatus::Running));
 }
 
-/// Pattern "entry that expires in a cut": the worker leaves the platform's list
+/// Pattern "entry that expires in a network partition": the worker leaves the platform's list
 /// while it is unreachable and comes back afterwards. It has accepted the tokens of
 /// the time before, so that an order with an earlier one made the owner take itself
 /// for superseded and end its term.
