Place no further runs on a worker that does not answer its starts

What starts there keeps its place until the lease ends, which is too late for short jobs. Tests: work_orders a_worker_that_does_not_answer_a_start_gets_no_further_runs (fails without the rule), the_time_for_an_answer_follows_the_delay_of_all_answers (fails with a fixed limit).

--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -27,7 +27,7 @@
 use crate::effect::CellEffect;
 use crate::job::JobState;
 use crate::relays::AdviceRelays;
-use crate::worker::WorkerState;
+use crate::worker::{StartDelay, WorkerState};
 use crate::{CellConfig, CellPolicy, JobCode, JobKey, OrderError, WorkerKey};
 
 use closed::ClosedJobs;
@@ -80,6 +80,7 @@
     relays: AdviceRelays,
     /// The workers that the last placement round kept free for gangs.
     reserved_workers: BTreeSet<WorkerKey>,
+    start_delay: StartDelay,
     /// A worker has accepted the token of a newer owner.
     is_superseded: bool,
     /// An event since the last placement round may allow another placement.
@@ -133,6 +134,7 @@
             eligibility_rates: BTreeMap::new(),
             relays: AdviceRelays::default(),
             reserved_workers: BTreeSet::new(),
+            start_delay: StartDelay::default(),
             is_superseded: false,
             needs_placement: true,
             last_placement_at: MilliTime::ZERO,
--- a/crates/pimentochute-work/src/cell/orders.rs
+++ b/crates/pimentochute-work/src/cell/orders.rs
@@ -32,8 +32,12 @@
             None => String::new(),
         };
         let needs_ticket = job.submission.terms.advice.is_some();
+        let limit = self.start_delay.limit();
         let worker = &mut self.workers[worker_key];
-        if job.end.is_some() || !worker.takes_runs(now) || (needs_ticket && ticket.is_empty()) {
+        if job.end.is_some()
+            || !worker.takes_runs(now, limit)
+            || (needs_ticket && ticket.is_empty())
+        {
             self.requeue_run(job_key, index, "its start is no longer possible");
             return;
         }
@@ -50,6 +54,7 @@
             placed.order_token = Some(token);
             placed.percent_at = now;
         }
+        worker.open_starts.record_sent(now);
         log::info!(task:% = name, run, worker:% = worker.report.id, token; "cell: a run starts");
         self.effects.push(CellEffect::Start(StartCommand {
             worker: worker_key,
@@ -78,6 +83,7 @@
         let Some(worker) = self.workers.get_mut(command.worker) else {
             return;
         };
+        worker.open_starts.record_answer(now);
         let task_ref = task_ref.filter(|task_ref| {
             worker
                 .runs
@@ -90,6 +96,11 @@
                 if let Some(task_ref) = task_ref
                     && let Some(run) = worker.runs.get_mut(&task_ref)
                 {
+                    if run.acknowledged_at.is_none() {
+                        // Until its worker lists it, the run keeps the time at
+                        // which its start was sent.
+                        self.start_delay.add_answer(now.since(run.percent_at));
+                    }
                     run.acknowledged_at = Some(now);
                     run.percent_at = now;
                     self.jobs[task_ref.0].has_started = true;
--- a/crates/pimentochute-work/src/cell/place.rs
+++ b/crates/pimentochute-work/src/cell/place.rs
@@ -203,7 +203,7 @@
                 spec.max_per_worker
             };
             let limit = limit.saturating_sub(here);
-            let takes = worker.takes_runs(self.now);
+            let takes = self.takes_runs(worker);
             Some(StepWorker {
                 worker_key,
                 slots: if takes {
@@ -272,7 +272,7 @@
         let has_capacity = |worker_key: &WorkerKey| {
             self.workers.get(*worker_key).is_some_and(|worker| {
                 matches_step(worker, terms, spec)
-                    && worker.takes_runs(self.now)
+                    && self.takes_runs(worker)
                     && !plan.reserved.contains(worker_key)
                     && spec.demand.fits_within(&worker.free())
             })
--- a/crates/pimentochute-work/src/cell/place_gang.rs
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -245,7 +245,7 @@
             })
             .enumerate()
             .map(|(index, (worker_key, worker))| {
-                let free = if worker.takes_runs(self.now) {
+                let free = if self.takes_runs(worker) {
                     slots_in(&worker.free(), &spec.demand).min(spec.tasks)
                 } else {
                     0
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -69,7 +69,7 @@
         let usable = self
             .workers
             .values()
-            .filter(|worker| worker.takes_runs(self.now));
+            .filter(|worker| self.takes_runs(worker));
         let capacity: ResourceAmount = usable.map(|worker| worker.report.capacity).sum();
         let committed: ResourceAmount = self.workers.values().map(|worker| worker.committed).sum();
         log::info!(
@@ -120,7 +120,7 @@
         let taking = self
             .workers
             .values()
-            .filter(|worker| worker.takes_runs(self.now));
+            .filter(|worker| self.takes_runs(worker));
         let mut max_free = ResourceAmount::ZERO;
         for free in taking.map(WorkerState::free) {
             max_free.cpu_millis = max_free.cpu_millis.max(free.cpu_millis);
@@ -134,7 +134,7 @@
         let taking = self
             .workers
             .values()
-            .filter(|worker| worker.takes_runs(self.now));
+            .filter(|worker| self.takes_runs(worker));
         taking.map(WorkerState::free).sum()
     }
 
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns whether new runs may be placed on a worker.
+    pub(super) fn takes_runs(&self, worker: &WorkerState) -> bool {
+        worker.takes_runs(self.now, self.start_delay.limit())
+    }
+
     pub(super) fn add_worker(&mut self, report: WorkerReport, in_platform_list: bool) -> WorkerKey {
         let id = report.id.clone();
         let mut worker = WorkerState::new(report, self.first_token, self.inherited_until, self.now);
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -30,6 +30,16 @@
     pub(crate) failures: u32,
     /// No run starts here before this time, on the cell's clock.
     pub(crate) avoid_until: MilliTime,
+    pub(crate) open_starts: OpenStarts,
+}
+
+/// The starts that a worker has not answered yet.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct OpenStarts {
+    count: u32,
+    /// When the worker last answered a start, or the first of the open ones was sent,
+    /// on the cell's clock.
+    waiting_since: MilliTime,
 }
 
 /// A worker's entry in the platform's list.
@@ -201,6 +211,7 @@
             answered_poll_sent_at: MilliTime::ZERO,
             failures: 0,
             avoid_until: MilliTime::ZERO,
+            open_starts: OpenStarts::default(),
         }
     }
 
@@ -217,12 +228,15 @@
         self.report.labels.last().map_or("", String::as_str)
     }
 
-    /// Returns whether new runs may start here.
-    pub(crate) fn takes_runs(&self, now: MilliTime) -> bool {
+    /// Returns whether new runs may start here. A worker that has not answered its
+    /// starts for longer than `answer_limit` may be unreachable: what starts there
+    /// could not be given to another worker before its lease ends.
+    pub(crate) fn takes_runs(&self, now: MilliTime, answer_limit: MilliSpan) -> bool {
         self.in_platform_list
             && !self.report.is_draining
             && self.lease.has_control
             && self.avoid_until <= now
+            && !self.open_starts.is_overdue(answer_limit, now)
     }
 
     /// Returns whether the worker has to be polled: the owner lacks control, the
@@ -260,6 +274,58 @@
     }
 }
 
+/// How long workers take to answer a start, as the owner sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct StartDelay {
+    /// The mean delay, in microseconds.
+    mean_micros: u64,
+}
+
+impl StartDelay {
+    /// The share of a new answer in the mean, as a divisor.
+    const WEIGHT_DIVISOR: u64 = 16;
+
+    /// The limit is this many times the mean delay. It follows the delay, since an
+    /// owner with little processor time or a full link reads all answers late.
+    const LIMIT_FACTOR: u64 = 4;
+
+    /// The smallest limit.
+    const MIN_LIMIT: MilliSpan = MilliSpan::new(150);
+
+    /// Adds the delay of an answer.
+    pub(crate) const fn add_answer(&mut self, delay: MilliSpan) {
+        let kept = self.mean_micros * (Self::WEIGHT_DIVISOR - 1);
+        self.mean_micros = (kept + delay.as_millis() * 1_000) / Self::WEIGHT_DIVISOR;
+    }
+
+    /// Returns the delay above which a worker may be unreachable.
+    pub(crate) fn limit(self) -> MilliSpan {
+        let limit = MilliSpan::new(self.mean_micros * Self::LIMIT_FACTOR / 1_000);
+        limit.max(Self::MIN_LIMIT)
+    }
+}
+
+impl OpenStarts {
+    /// Notes that a start is sent.
+    pub(crate) fn record_sent(&mut self, now: MilliTime) {
+        if self.count == 0 {
+            self.waiting_since = now;
+        }
+        self.count += 1;
+    }
+
+    /// Notes that a start has an answer, or that the wait for it has ended.
+    pub(crate) fn record_answer(&mut self, now: MilliTime) {
+        self.count = self.count.saturating_sub(1);
+        self.waiting_since = now;
+    }
+
+    /// Returns whether the worker has not answered for longer than `limit`.
+    pub(crate) fn is_overdue(&self, limit: MilliSpan, now: MilliTime) -> bool {
+        self.count > 0 && now.since(self.waiting_since) > limit
+    }
+}
+
 impl PlacedRun {
     /// Creates a run whose start order was not sent.
     pub(crate) const fn new(number: u32, demand: ResourceAmount, now: MilliTime) -> Self {
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -541,3 +541,41 @@
     let polls = test.run_due_work().polls;
     assert!(polls[0].token > poll.token, "the worker refuses the poll");
 }
+
+/// Pattern "starts into a network partition": a run whose start has no answer cannot be
+/// given to another worker before its lease ends. Further runs went to the same worker
+/// until the first of the starts had failed.
+#[test]
+fn a_worker_that_does_not_answer_a_start_gets_no_further_runs() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 4_000);
+    let silent = started(&mut test, 1, 1).starts;
+    test.step(200);
+    let next = started(&mut test, 2, 4).starts;
+    assert_eq!(next.len(), 4);
+    assert!(next.iter().all(|start| start.worker != silent[0].worker));
+    test.answer_starts(&next);
+    test.answer_starts(&silent);
+    assert_eq!(
+        started(&mut test, 3, 3).starts.len(),
+        3,
+        "the worker answers again"
+    );
+}
+
+/// The owner reads all answers late: none of the workers is at fault.
+#[test]
+fn the_time_for_an_answer_follows_the_delay_of_all_answers() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 64_000);
+    for code in 0..66 {
+        let starts = started(&mut test, code, 1).starts;
+        if code < 40 {
+            test.step(120);
+            test.answer_starts(&starts);
+        } else {
+            assert_eq!(starts.len(), 1);
+            test.step(10);
+        }
+    }
+}
