Log workers that are replaced or change their capacity; reproduce the crashes

The owner did not say that a new worker stands at the address of a lost one, nor that a capacity changed.

--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -15,6 +15,7 @@
                 worker:% = report.id, pool:% = report.pool, address:% = report.address;
                 "cell: a new worker appeared in the platform's list"
             );
+            self.log_replaced(&report);
             self.add_worker(report, true);
             self.needs_placement = true;
             return;
@@ -29,6 +30,18 @@
         if report.is_draining && !worker.report.is_draining {
             log::info!(worker:% = report.id, runs = worker.runs.len(); "cell: a worker is draining");
         }
+        if report.capacity != worker.report.capacity {
+            log::info!(
+                worker:% = report.id,
+                before_millis = worker.report.capacity.cpu_millis,
+                capacity_millis = report.capacity.cpu_millis,
+                before_mib = worker.report.capacity.memory_mib,
+                capacity_mib = report.capacity.memory_mib,
+                committed_millis = worker.committed.cpu_millis,
+                committed_mib = worker.committed.memory_mib;
+                "cell: the capacity of a worker changed"
+            );
+        }
         worker.in_platform_list = true;
         worker.reported_at = now;
         worker.report = report;
@@ -81,6 +94,29 @@
         }
     }
 
+    /// Logs the workers whose address a new worker has. They have ended, and all
+    /// their runs with them.
+    fn log_replaced(&self, report: &WorkerReport) {
+        let now = self.now;
+        let replaced = self.workers.values().filter(|worker| {
+            worker.report.address == report.address && worker.report.started_at < report.started_at
+        });
+        for worker in replaced {
+            let acknowledged = worker.runs.values().filter_map(|run| run.acknowledged_at);
+            let youngest = acknowledged.max().unwrap_or(worker.answered_poll_sent_at);
+            log::warn!(
+                worker:% = worker.report.id,
+                replaced_by:% = report.id,
+                address:% = report.address,
+                draining = worker.report.is_draining,
+                runs = worker.runs.len(),
+                silence:% = now.since(worker.answered_poll_sent_at),
+                youngest_run:% = now.since(youngest);
+                "cell: a worker was replaced at its address"
+            );
+        }
+    }
+
     /// Returns whether new runs may be placed on a worker.
     pub(super) fn takes_runs(&self, worker: &WorkerState) -> bool {
         worker.takes_runs(self.now, self.start_delay.limit())
--- /dev/null
+++ b/tests/tests/work_crashes.rs
@@ -0,0 +1,329 @@
+//! Simulates tasks that crash each worker that starts them, beside sound ones. A crashed
+//! worker is back after some seconds, under another identifier at its address.
+
+mod work_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastrand::Rng;
+use pimentochute_base::{MilliSpan, MilliTime};
+use pimentochute_work::{
+    CellEffect, EndedRow, JobCode, JobStatus, OrderError, PollCommand, RunEnd, RunningRow,
+    StartCommand, WorkerListing,
+};
+use test_case::test_case;
+use work_support::{ADVISED, PLAIN, TestCell, gang, job, print_logs, report};
+
+/// The step of the simulated time, in milliseconds.
+const TICK: u64 = 10;
+/// The number of workers.
+const WORKERS: usize = 16;
+/// The processor capacity of a worker, in thousandths of a core.
+const WORKER_CPU: u64 = 8_000;
+/// The time from the start of a run until its worker crashes, in milliseconds.
+const CRASH_DELAY: u64 = 10;
+/// The time from a crash until the platform's list omits the worker, in milliseconds.
+const LIST_TIMEOUT: u64 = 4_000;
+/// The time in which jobs arrive, in milliseconds.
+const ARRIVAL_PHASE: u64 = 10_000;
+/// The time after that in which every job has to end, in milliseconds.
+const DRAIN_PHASE: u64 = 60_000;
+/// The number of crashes after which the platform counts further starts of a task.
+const COUNTED_CRASHES: u32 = 3;
+/// The number of starts after [`COUNTED_CRASHES`] that the platform allows.
+const MAX_LATER_STARTS: u32 = 2;
+
+/// A worker that may crash.
+struct CrashWorker {
+    id: String,
+    started_at: MilliTime,
+    /// When it crashes, if a deadly run has started.
+    crashes_at: Option<MilliTime>,
+    /// When it is back after a crash.
+    back_at: Option<MilliTime>,
+    /// The runs by the name of their task: the number of the run and when it is done.
+    runs: BTreeMap<String, (u32, MilliTime)>,
+    ended: Vec<EndedRow>,
+    next_row_number: u64,
+}
+
+/// What happened to a task.
+#[derive(Default)]
+struct TaskHistory {
+    /// The crashes of workers under it.
+    crashes: u32,
+    /// The starts after [`COUNTED_CRASHES`].
+    later_starts: u32,
+}
+
+struct CrashSimulation {
+    rng: Rng,
+    test: TestCell,
+    workers: Vec<CrashWorker>,
+    /// The answers to polls, which arrive with the next tick.
+    answers: Vec<(PollCommand, Result<WorkerListing, OrderError>)>,
+    /// The crashed workers that the list still has, and until when.
+    listed_until: Vec<(String, MilliTime)>,
+    deadly: BTreeSet<JobCode>,
+    sound: BTreeMap<JobCode, MilliTime>,
+    histories: BTreeMap<String, TaskHistory>,
+    next_worker: usize,
+    /// How long a crashed worker is away, in milliseconds.
+    down_time: u64,
+    crashes: u32,
+}
+
+impl CrashSimulation {
+    fn new(seed: u64, down_time: u64) -> Self {
+        let test = TestCell::new(1);
+        let mut simulation = Self {
+            rng: Rng::with_seed(seed),
+            test,
+            workers: Vec::new(),
+            answers: Vec::new(),
+            listed_until: Vec::new(),
+            deadly: BTreeSet::new(),
+            sound: BTreeMap::new(),
+            histories: BTreeMap::new(),
+            next_worker: 0,
+            down_time,
+            crashes: 0,
+        };
+        for _ in 0..WORKERS {
+            let worker = simulation.new_worker();
+            simulation.workers.push(worker);
+        }
+        simulation.report_workers();
+        simulation
+    }
+
+    fn new_worker(&mut self) -> CrashWorker {
+        self.next_worker += 1;
+        CrashWorker {
+            id: format!("i-{:04}", self.next_worker),
+            started_at: self.test.now,
+            crashes_at: None,
+            back_at: None,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_row_number: 1,
+        }
+    }
+
+    fn report_workers(&mut self) {
+        for (index, worker) in self.workers.iter().enumerate() {
+            if worker.back_at.is_none() {
+                let mut report = report(index, WORKER_CPU);
+                report.id.clone_from(&worker.id);
+                report.started_at = worker.started_at;
+                report.clock = self.test.now;
+                self.test.cell.worker_reported(report);
+            }
+        }
+    }
+
+    fn submit(&mut self, code: u64, is_deadly: bool) {
+        let tasks = self.rng.u32(1..5);
+        let demand = self.rng.u64(500..2_000);
+        let is_gang = self.rng.u8(0..6) == 0;
+        let spec = if is_gang {
+            gang(tasks, demand)
+        } else {
+            job(tasks, demand)
+        };
+        let queue = if self.rng.bool() { PLAIN } else { ADVISED };
+        self.test.submit(code, queue, spec);
+        let code = JobCode::new(code);
+        if is_deadly {
+            self.deadly.insert(code);
+        } else {
+            self.sound.insert(code, self.test.now);
+        }
+    }
+
+    /// Returns whether a start crashes its worker: that of the first task of a deadly job.
+    fn is_deadly(&self, start: &StartCommand) -> bool {
+        self.deadly.contains(&start.task.job) && start.task.index == 0
+    }
+
+    fn tick(&mut self) {
+        self.test.step(TICK);
+        let now = self.test.now;
+        for index in 0..self.workers.len() {
+            self.advance_worker(index, now);
+        }
+        if now.as_millis().is_multiple_of(500) {
+            self.report_workers();
+        }
+        let departed = self.listed_until.extract_if(.., |(_, until)| *until <= now);
+        for (id, _) in departed {
+            self.test.cell.worker_unlisted(&id);
+        }
+        for (poll, answer) in std::mem::take(&mut self.answers) {
+            self.test.cell.poll_answered(&poll, answer);
+        }
+        self.test.cell.run_due_work();
+        let mut effects = self.test.cell.take_effects();
+        if self.test.cell.take_batch().expect("encodes").is_some() {
+            self.test.cell.batch_recorded();
+            effects.extend(self.test.cell.take_effects());
+        }
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn advance_worker(&mut self, index: usize, now: MilliTime) {
+        if self.workers[index].back_at.is_some_and(|at| at <= now) {
+            self.workers[index] = self.new_worker();
+            self.report_workers();
+        }
+        let worker = &mut self.workers[index];
+        if worker.crashes_at.is_some_and(|at| at <= now) {
+            for task in std::mem::take(&mut worker.runs).into_keys() {
+                self.histories.entry(task).or_default().crashes += 1;
+            }
+            worker.crashes_at = None;
+            worker.back_at = Some(now + MilliSpan::new(self.down_time));
+            self.listed_until
+                .push((worker.id.clone(), now + MilliSpan::new(LIST_TIMEOUT)));
+            self.crashes += 1;
+        }
+        let done = worker.runs.iter().filter(|(_, (_, ends))| *ends <= now);
+        let done: Vec<_> = done.map(|(task, (run, _))| (task.clone(), *run)).collect();
+        for (task, run) in done {
+            worker.runs.remove(&task);
+            worker.ended.push(EndedRow {
+                number: worker.next_row_number,
+                task,
+                run,
+                outcome: RunEnd::Done,
+                checkpoint: String::new(),
+            });
+            worker.next_row_number += 1;
+        }
+    }
+
+    /// Returns the worker of an order, if it is up.
+    fn reach(&mut self, id: &str) -> Option<&mut CrashWorker> {
+        let mut workers = self.workers.iter_mut();
+        workers.find(|worker| worker.id == id && worker.back_at.is_none())
+    }
+
+    fn carry_out(&mut self, effect: CellEffect) {
+        let now = self.test.now;
+        match effect {
+            CellEffect::Start(start) => self.start(&start),
+            CellEffect::Stop(stop) => {
+                if let Some(worker) = self.reach(&stop.target.id) {
+                    worker.runs.remove(&stop.task);
+                }
+                self.test.cell.stop_answered(&stop, Ok(now));
+            }
+            CellEffect::Poll(poll) => {
+                let answer = self.reach(&poll.target.id).map(|worker| {
+                    worker
+                        .ended
+                        .retain(|row| row.number > poll.last_recorded_end);
+                    let running = worker.runs.iter().map(|(task, (run, _))| RunningRow {
+                        task: task.clone(),
+                        run: *run,
+                        checkpoint: String::new(),
+                        percent: u32::try_from(now.as_millis() / 10 % 100).unwrap_or(0),
+                    });
+                    WorkerListing {
+                        started_at: Some(worker.started_at),
+                        clock: now,
+                        running: running.collect(),
+                        ended: worker.ended.clone(),
+                    }
+                });
+                let answer = answer.ok_or(OrderError::OutcomeUnknown);
+                self.answers.push((poll, answer));
+            }
+            CellEffect::RequestAdvice(request) => self.test.answer_request(&request),
+            CellEffect::DropIntake(_) | CellEffect::Reply(..) => {}
+        }
+    }
+
+    fn start(&mut self, start: &StartCommand) {
+        let now = self.test.now;
+        let is_deadly = self.is_deadly(start);
+        let duration = self.rng.u64(300..2_500);
+        let Some(worker) = self.reach(&start.target.id) else {
+            let lost = Err(OrderError::OutcomeUnknown);
+            self.test.cell.start_answered(start, lost);
+            return;
+        };
+        let ends = now + MilliSpan::new(duration);
+        worker
+            .runs
+            .insert(start.task.to_string(), (start.run, ends));
+        if is_deadly {
+            let crash = now + MilliSpan::new(CRASH_DELAY);
+            worker.crashes_at.get_or_insert(crash);
+        }
+        self.test.cell.start_answered(start, Ok(now));
+        if is_deadly {
+            let history = self.histories.entry(start.task.to_string()).or_default();
+            if history.crashes >= COUNTED_CRASHES {
+                history.later_starts += 1;
+            }
+            assert!(
+                history.later_starts <= MAX_LATER_STARTS,
+                "{} is started again after {} crashes",
+                start.task,
+                history.crashes
+            );
+        }
+    }
+
+    fn state(&self, code: JobCode) -> Option<JobStatus> {
+        self.test.cell.state(code)
+    }
+
+    /// Lets jobs arrive, one in `deadly_in` of them deadly, until all have ended.
+    fn run(&mut self, deadly_in: u64) {
+        let mut code: u64 = 0;
+        for _ in 0..ARRIVAL_PHASE / TICK {
+            if self.rng.u8(0..10) == 0 {
+                code += 1;
+                let is_deadly = code.is_multiple_of(deadly_in);
+                self.submit(code, is_deadly);
+            }
+            self.tick();
+        }
+        for _ in 0..DRAIN_PHASE / TICK {
+            self.tick();
+        }
+        for code in self.sound.keys() {
+            assert_eq!(
+                self.state(*code),
+                Some(JobStatus::Completed),
+                "{code} is sound"
+            );
+        }
+        for code in &self.deadly {
+            assert_eq!(
+                self.state(*code),
+                Some(JobStatus::Failed),
+                "{code} is deadly"
+            );
+        }
+    }
+}
+
+/// Guards against tasks that crash worker after worker: runs that were lost with their
+/// worker were placed again without limit, each time beside other runs.
+#[test_case(0..8, 3_300 ; "workers that are back before their lease ends")]
+#[test_case(8..16, 12_000 ; "workers that are back after their lease ends")]
+fn a_task_that_crashes_its_workers_is_given_up_and_its_neighbours_are_not(
+    seeds: std::ops::Range<u64>,
+    down_time: u64,
+) {
+    print_logs();
+    for seed in seeds {
+        let mut simulation = CrashSimulation::new(seed, down_time);
+        simulation.run(10);
+    }
+}
