Withhold starts from workers whose capacity has shrunk since the placement

What callers saw: nothing yet; the rule is new (a start must not bring a worker over its capacity, which may shrink while it runs). Cause: room was checked when a run was placed, not when its start was sent. Between the two lies an append to the log, up to a second and more while the log is slow, in which a new report of the worker may arrive. Why it works: what counts is compared with the capacity in force when the order leaves. For a gang, all workers of its members count, so that none starts alone. What does not fit waits again; its start was never sent.

--- a/crates/pimentochute-work/src/cell/orders.rs
+++ b/crates/pimentochute-work/src/cell/orders.rs
@@ -17,7 +17,7 @@
         run: u32,
         worker_key: WorkerKey,
     ) {
-        let Some(job) = self.jobs.get_mut(job_key) else {
+        let Some(job) = self.jobs.get(job_key) else {
             return;
         };
         let task = &job.tasks[index];
@@ -27,6 +27,11 @@
         let name = job.name_of(index);
         let step_index = job.step_index(name);
         let now = self.now;
+        if !self.fits_capacity(job_key, index, worker_key) {
+            self.requeue_run(job_key, index, "the capacity of its worker has shrunk");
+            return;
+        }
+        let job = &self.jobs[job_key];
         let ticket = match &job.steps[step_index].advice.ticket(worker_key, now) {
             Some(ticket) => (*ticket).to_owned(),
             None => String::new(),
@@ -72,6 +77,25 @@
         worker.lease.next_poll_at = worker.lease.next_poll_at.min(soon).max(now);
     }
 
+    /// Returns whether the worker of a placed run still has the capacity for all runs
+    /// that are placed on it. Those of a gang start only if all of their workers have.
+    fn fits_capacity(&self, job_key: JobKey, index: usize, worker_key: WorkerKey) -> bool {
+        let fits = |worker_key: WorkerKey| {
+            let worker = &self.workers[worker_key];
+            worker.committed.fits_within(&worker.report.capacity)
+        };
+        let job = &self.jobs[job_key];
+        let step_index = job.step_index(job.name_of(index));
+        if !job.step_spec(step_index).is_gang {
+            return fits(worker_key);
+        }
+        let members = &job.tasks[job.task_range(step_index)];
+        members.iter().all(|member| match member.placement {
+            TaskPlacement::Placed(worker_key) => fits(worker_key),
+            TaskPlacement::Waiting | TaskPlacement::Done => true,
+        })
+    }
+
     /// Applies the result of a start order; `Ok` holds the worker's clock.
     pub fn start_answered(
         &mut self,
