--- a/crates/pimentochute-edge/src/owner/load.rs
+++ b/crates/pimentochute-edge/src/owner/load.rs
@@ -4,8 +4,8 @@
 
 use pimentochute_base::MilliSpan;
 use pimentochute_work::{
-    JobCode, JobProgress, JobSubmission, RecordKind, RecordWrite, WorkCell, WorkerReport,
-    decode_record,
+    JobCode, JobCrashes, JobProgress, JobSubmission, RecordKind, RecordWrite, WorkCell,
+    WorkerReport, decode_record,
 };
 
 use super::mirror::JobMirror;
@@ -19,6 +19,9 @@
 /// The suffix of the keys of submissions that the owner has recorded.
 const SUBMISSION_SUFFIX: &str = ".s";
 
+/// The suffix of the keys of records of crashes.
+const CRASHES_SUFFIX: &str = ".c";
+
 /// The writer name of the owner's appends. Its epochs are those of the claims.
 const WRITER: &str = "owner";
 
@@ -36,6 +39,7 @@
 pub(super) fn keyed_record(write: RecordWrite) -> KeyedRecord {
     let suffix = match write.kind {
         RecordKind::Submission => SUBMISSION_SUFFIX,
+        RecordKind::Crashes => CRASHES_SUFFIX,
         RecordKind::Progress => "",
     };
     KeyedRecord {
@@ -95,8 +99,10 @@
         }
     }
     let is_submission = |record: &KeyedRecord| record.key.ends_with(SUBMISSION_SUFFIX);
-    let (submissions, progress): (Vec<_>, Vec<_>) =
+    let is_crashes = |record: &KeyedRecord| record.key.ends_with(CRASHES_SUFFIX);
+    let (submissions, others): (Vec<_>, Vec<_>) =
         mirror.owner_records.records().partition(is_submission);
+    let (crashes, progress): (Vec<_>, Vec<_>) = others.into_iter().partition(is_crashes);
     for record in submissions {
         if let Some((code, submission)) = submission_of(&record) {
             cell.restore_submission(code, submission);
@@ -107,6 +113,11 @@
             cell.accept_from_intake(code, submission);
         }
     }
+    for record in &crashes {
+        if let Some((code, crashes)) = crashes_of(record) {
+            cell.restore_crashes(code, crashes);
+        }
+    }
     for record in &progress {
         if let Some((code, progress)) = progress_of(record) {
             cell.restore_progress(code, progress);
@@ -153,6 +164,10 @@
     Some((code_of(record)?, read_value(record)?))
 }
 
+fn crashes_of(record: &KeyedRecord) -> Option<(JobCode, JobCrashes)> {
+    Some((code_of(record)?, read_value(record)?))
+}
+
 /// Decodes the report of a worker; `None` if the record is invalid.
 pub(super) fn worker_of(context: &EdgeContext, record: &KeyedRecord) -> Option<WorkerReport> {
     let report = context.ports.codec.worker(&record.key, &record.value);
@@ -170,7 +185,8 @@
     if record.value.is_empty() {
         return None;
     }
-    let key = record.key.strip_suffix(SUBMISSION_SUFFIX);
+    let mut suffixes = [SUBMISSION_SUFFIX, CRASHES_SUFFIX].into_iter();
+    let key = suffixes.find_map(|suffix| record.key.strip_suffix(suffix));
     let code = key.unwrap_or(&record.key).parse();
     code.inspect_err(|error| {
         log::error!(
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -3,11 +3,13 @@
 mod advise;
 mod closed;
 mod config;
+mod crashes;
 mod ends;
 mod gang;
 mod jobs;
 mod orders;
 mod place;
+mod place_apart;
 mod place_gang;
 mod polls;
 mod rank;
@@ -31,6 +33,7 @@
 use crate::{CellConfig, CellPolicy, JobCode, JobKey, OrderError, WorkerKey};
 
 use closed::ClosedJobs;
+use crashes::LostWorker;
 use polls::PollSchedule;
 use records::{BatchInFlight, StagedAction};
 use teams::TeamState;
@@ -69,6 +72,8 @@
     closed: ClosedJobs,
     workers: SlotMap<WorkerKey, WorkerState>,
     worker_keys: BTreeMap<String, WorkerKey>,
+    /// The worker at each address that started last.
+    address_holders: BTreeMap<String, WorkerKey>,
     teams: BTreeMap<String, TeamState>,
     /// The number of jobs that have not ended.
     open_jobs: usize,
@@ -80,6 +85,10 @@
     relays: AdviceRelays,
     /// The workers that the last placement round kept free for gangs.
     reserved_workers: BTreeSet<WorkerKey>,
+    /// The workers that are kept free for a suspected task of a job.
+    kept_workers: BTreeMap<WorkerKey, JobKey>,
+    /// The workers of which it is not known yet whether they crashed.
+    lost_workers: Vec<LostWorker>,
     start_delay: StartDelay,
     /// A worker has accepted the token of a newer owner.
     is_superseded: bool,
@@ -96,6 +105,8 @@
     dirty: BTreeSet<JobKey>,
     /// Closed jobs whose records have to be deleted.
     expired: Vec<JobCode>,
+    /// Jobs that are not known and whose record of crashes has to be deleted.
+    orphaned_crashes: Vec<JobCode>,
     /// The actions that follow once the next batch is in the log.
     staged: Vec<StagedAction>,
     /// The batches that are not known to be in the log, the oldest first.
@@ -128,12 +139,15 @@
             closed: ClosedJobs::default(),
             workers: SlotMap::with_key(),
             worker_keys: BTreeMap::new(),
+            address_holders: BTreeMap::new(),
             teams: BTreeMap::new(),
             open_jobs: 0,
             backlog: BTreeSet::new(),
             eligibility_rates: BTreeMap::new(),
             relays: AdviceRelays::default(),
             reserved_workers: BTreeSet::new(),
+            kept_workers: BTreeMap::new(),
+            lost_workers: Vec::new(),
             start_delay: StartDelay::default(),
             is_superseded: false,
             needs_placement: true,
@@ -144,6 +158,7 @@
             submitted: Vec::new(),
             dirty: BTreeSet::new(),
             expired: Vec::new(),
+            orphaned_crashes: Vec::new(),
             staged: Vec::new(),
             in_flight: VecDeque::new(),
             effects: Vec::new(),
--- /dev/null
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -0,0 +1,248 @@
+//! Losses of workers: which tasks they count against, and which workers a suspected
+//! task has for itself.
+
+use pimentochute_base::{MilliSpan, MilliTime};
+
+use crate::crash::{RunLoss, START_CRASH_WINDOW};
+use crate::job::{CrashRecord, TaskPlacement};
+use crate::worker::WorkerState;
+use crate::{JobCode, JobCrashes, JobEnd, JobKey, WorkerKey};
+
+use super::WorkCell;
+
+/// How long a lost worker is remembered, so that its return or its replacement still
+/// tells whether it had crashed.
+const LOSS_MEMORY: MilliSpan = MilliSpan::new(60_000);
+
+/// At most one in this many workers is kept for suspected tasks.
+const MAX_APART_DIVISOR: usize = 8;
+
+/// A worker whose runs were requeued without knowing whether it had crashed.
+#[derive(Debug)]
+pub(super) struct LostWorker {
+    id: String,
+    address: String,
+    /// The start of the lost incarnation.
+    started_at: MilliTime,
+    lost_at: MilliTime,
+    runs: Vec<LostRun>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LostRun {
+    job: JobKey,
+    index: usize,
+    loss: RunLoss,
+}
+
+impl WorkCell {
+    /// Counts the loss of a worker against the tasks that it ran or may have run.
+    pub(super) fn count_loss(&mut self, worker_key: WorkerKey, is_crash: bool) {
+        let runs = self.lost_runs(worker_key, is_crash);
+        let worker = &self.workers[worker_key];
+        log::warn!(
+            worker:% = worker.report.id,
+            crashed = is_crash,
+            runs = runs.len(),
+            recent = runs.iter().filter(|run| run.loss.is_recent).count(),
+            silence:% = self.now.since(worker.last_answer_at);
+            "cell: a worker is lost"
+        );
+        if !is_crash && !worker.report.address.is_empty() {
+            self.lost_workers.push(LostWorker {
+                id: worker.report.id.clone(),
+                address: worker.report.address.clone(),
+                started_at: worker.report.started_at,
+                lost_at: self.now,
+                runs: runs.clone(),
+            });
+        }
+        for run in runs {
+            let is_guilty = self.jobs[run.job].tasks[run.index]
+                .crashes
+                .add_loss(run.loss);
+            self.note_loss(run, is_guilty);
+        }
+    }
+
+    /// Returns the runs of a worker whose start was sent.
+    fn lost_runs(&self, worker_key: WorkerKey, is_crash: bool) -> Vec<LostRun> {
+        let worker = &self.workers[worker_key];
+        let mut jobs: Vec<_> = worker.runs.keys().map(|(job, _)| *job).collect();
+        jobs.dedup();
+        let is_lone = jobs.len() == 1;
+        let sent = worker.runs.iter().filter(|((job, index), run)| {
+            let placement = self.jobs[*job].tasks[*index].placement;
+            run.order_token.is_some() && placement == TaskPlacement::Placed(worker_key)
+        });
+        let runs = sent.map(|((job, index), run)| LostRun {
+            job: *job,
+            index: *index,
+            loss: RunLoss {
+                is_crash,
+                is_lone,
+                is_recent: run
+                    .acknowledged_at
+                    .is_none_or(|at| worker.last_answer_at.since(at) < START_CRASH_WINDOW),
+            },
+        });
+        runs.collect()
+    }
+
+    /// Records what a loss says of a task, and gives its job up if it has to be.
+    fn note_loss(&mut self, run: LostRun, is_guilty: bool) {
+        let job = &mut self.jobs[run.job];
+        job.crash_record = CrashRecord::Outdated;
+        self.dirty.insert(run.job);
+        let history = job.tasks[run.index].crashes;
+        log::info!(
+            task:% = job.name_of(run.index),
+            losses = history.losses,
+            crashes = history.crashes,
+            lone = run.loss.is_lone,
+            recent = run.loss.is_recent,
+            suspect = history.is_suspect;
+            "cell: a task lost its worker"
+        );
+        if is_guilty && job.end.is_none() {
+            log::warn!(
+                job:% = job.code,
+                task:% = job.name_of(run.index),
+                losses = history.losses,
+                crashes = history.crashes;
+                "cell: a job failed: one of its tasks crashes its workers"
+            );
+            self.end_job(run.job, JobEnd::Failed);
+        }
+    }
+
+    /// Counts a loss as a crash, since a worker that started later has the address or
+    /// the identifier of the lost one.
+    pub(super) fn confirm_crashes(&mut self, successor: WorkerKey) {
+        let report = &self.workers[successor].report;
+        let crashed = self.lost_workers.extract_if(.., |lost| {
+            let is_same = lost.address == report.address || lost.id == report.id;
+            is_same && lost.started_at < report.started_at
+        });
+        let runs: Vec<_> = crashed.flat_map(|lost| lost.runs).collect();
+        for mut run in runs {
+            run.loss.is_crash = true;
+            let Some(job) = self.jobs.get_mut(run.job) else {
+                continue;
+            };
+            let is_guilty = job.tasks[run.index].crashes.confirm_crash(run.loss);
+            self.note_loss(run, is_guilty);
+        }
+    }
+
+    /// Takes back the loss of a worker that answers again.
+    pub(super) fn retract_loss(&mut self, worker_key: WorkerKey) {
+        if self.lost_workers.is_empty() {
+            return;
+        }
+        let report = &self.workers[worker_key].report;
+        let returned = self.lost_workers.extract_if(.., |lost| {
+            lost.id == report.id && lost.started_at == report.started_at
+        });
+        let runs: Vec<_> = returned.flat_map(|lost| lost.runs).collect();
+        for run in runs {
+            if let Some(job) = self.jobs.get_mut(run.job) {
+                job.tasks[run.index].crashes.remove_loss(run.loss);
+                job.crash_record = CrashRecord::Outdated;
+                self.dirty.insert(run.job);
+            }
+        }
+    }
+
+    /// Forgets the losses that are too old to be confirmed.
+    pub(super) fn expire_losses(&mut self) {
+        let now = self.now;
+        self.lost_workers
+            .retain(|lost| now.since(lost.lost_at) < LOSS_MEMORY);
+    }
+
+    /// Restores what a previous owner recorded about the tasks of a job. Has to be
+    /// called after the submission and before the progress.
+    pub fn restore_crashes(&mut self, code: JobCode, record: JobCrashes) {
+        let Some(key) = self.job_keys.get(&code).copied() else {
+            self.orphaned_crashes.push(code);
+            return;
+        };
+        let job = &mut self.jobs[key];
+        job.crash_record = CrashRecord::Current;
+        for row in record.tasks {
+            match job.tasks.get_mut(row.task as usize) {
+                Some(task) => task.crashes = row.into(),
+                None => {
+                    log::error!(job:% = code, task = row.task; "cell: a crash record names a task that its job does not have");
+                }
+            }
+        }
+    }
+
+    /// Lets the suspects of a worker run beside other jobs once the worker has answered
+    /// a poll that was sent long enough after their start.
+    pub(super) fn clear_suspects(&mut self, worker_key: WorkerKey, poll_sent: MilliTime) {
+        let worker = &mut self.workers[worker_key];
+        if worker.apart_job.is_none() {
+            return;
+        }
+        for ((job_key, index), run) in &mut worker.runs {
+            let job = &mut self.jobs[*job_key];
+            let history = &mut job.tasks[*index].crashes;
+            let answered = run.acknowledged_at.map(|at| poll_sent.since(at));
+            if run.is_apart && answered.is_some_and(|span| history.is_cleared_after(span)) {
+                run.is_apart = false;
+                history.is_suspect = false;
+                job.crash_record = CrashRecord::Outdated;
+                self.dirty.insert(*job_key);
+                self.needs_placement = true;
+                log::info!(
+                    task:% = job.name_of(*index), run = run.number, worker:% = worker.report.id;
+                    "cell: a suspected task does no harm"
+                );
+            }
+        }
+        worker.update_apart_job();
+    }
+
+    /// Returns whether a worker takes runs of a job: it takes runs at all, and is not
+    /// kept for a suspected task of another job.
+    pub(super) fn takes_runs_of(
+        &self,
+        job_key: JobKey,
+        worker_key: WorkerKey,
+        worker: &WorkerState,
+    ) -> bool {
+        let kept_for = self.kept_workers.get(&worker_key);
+        self.takes_runs(worker)
+            && kept_for.is_none_or(|kept_for| *kept_for == job_key)
+            && worker.apart_job.is_none_or(|apart| apart == job_key)
+    }
+
+    /// Returns how many further workers may be kept for suspected tasks.
+    pub(super) fn spare_for_suspects(&self) -> usize {
+        let workers = self.workers.values();
+        let apart = workers.filter(|worker| worker.apart_job.is_some());
+        let vacant = self
+            .workers
+            .values()
+            .filter(|worker| worker.runs.is_empty() && self.takes_runs(worker));
+        let limit = (self.workers.len() / MAX_APART_DIVISOR).max(vacant.count() / 2);
+        limit
+            .max(1)
+            .saturating_sub(apart.count() + self.kept_workers.len())
+    }
+
+    /// Ends the reservations of workers for suspected tasks that no longer wait.
+    pub(super) fn release_kept_workers(&mut self) {
+        let mut kept = std::mem::take(&mut self.kept_workers);
+        kept.retain(|worker_key, job_key| {
+            let worker = self.workers.get(*worker_key);
+            let job = self.jobs.get(*job_key);
+            worker.is_some_and(|worker| self.takes_runs(worker))
+                && job.is_some_and(|job| job.end.is_none() && job.has_waiting_suspect())
+        });
+        self.kept_workers = kept;
+    }
+}
--- a/crates/pimentochute-work/src/cell/orders.rs
+++ b/crates/pimentochute-work/src/cell/orders.rs
@@ -117,6 +117,7 @@
         match result {
             Ok(clock) => {
                 worker.lease.update_clock(clock, now);
+                worker.last_answer_at = now;
                 if let Some(task_ref) = task_ref
                     && let Some(run) = worker.runs.get_mut(&task_ref)
                 {
--- a/crates/pimentochute-work/src/cell/place.rs
+++ b/crates/pimentochute-work/src/cell/place.rs
@@ -88,17 +88,24 @@
         spec: &StepSpec,
         plan: &mut RoundPlan,
     ) {
-        if !plan.may_fit(&spec.demand) {
+        let suspects = self.waiting_suspects(job_key, step_index);
+        if suspects.is_empty() && !plan.may_fit(&spec.demand) {
             return;
         }
         let team = self.jobs[job_key].submission.team.clone();
-        let rows = self.step_workers(job_key, step_index, terms, spec, plan);
-        let usable = rows
-            .into_iter()
-            .filter(|row| row.slots > 0 && row.may_start);
-        let mut usable: Vec<_> = usable.collect();
+        let mut rows = self.step_workers(job_key, step_index, terms, spec, plan);
+        if !suspects.is_empty() {
+            self.place_suspects(job_key, &suspects, spec, &mut rows, plan);
+        }
+        rows.retain(|row| {
+            let is_apart = self.workers[row.worker_key].apart_job.is_some()
+                || self.kept_workers.contains_key(&row.worker_key);
+            row.slots > 0 && row.may_start && !is_apart
+        });
+        let mut usable = rows;
         for index in self.jobs[job_key].task_range(step_index) {
-            if self.jobs[job_key].tasks[index].placement != TaskPlacement::Waiting {
+            let task = &self.jobs[job_key].tasks[index];
+            if task.placement != TaskPlacement::Waiting || task.crashes.is_suspect {
                 continue;
             }
             let counted = plan.with_cap_hold(team.as_deref(), spec.demand);
@@ -111,9 +118,11 @@
             let run = self.jobs[job_key].tasks[index].run + 1;
             self.place_task_run(job_key, index, worker, run, spec.demand);
         }
+        let suspects = self.waiting_suspects(job_key, step_index).len();
         let waiting = self.jobs[job_key].steps[step_index].waiting;
         if waiting > 0 {
-            self.request_for_tasks(job_key, step_index, terms, spec, waiting, plan);
+            let only_suspects = suspects == waiting as usize;
+            self.request_for_tasks(job_key, step_index, terms, spec, only_suspects, plan);
         }
     }
 
@@ -163,7 +172,8 @@
         run: u32,
         demand: ResourceAmount,
     ) {
-        let placed = PlacedRun::new(run, demand, self.now);
+        let is_apart = self.jobs[job_key].tasks[index].crashes.is_suspect;
+        let placed = PlacedRun::new(run, demand, self.now).with_apart(is_apart);
         self.place_run(job_key, index, worker, placed);
         self.dirty.insert(job_key);
         self.staged.push(StagedAction::Start {
@@ -203,7 +213,7 @@
                 spec.max_per_worker
             };
             let limit = limit.saturating_sub(here);
-            let takes = self.takes_runs(worker);
+            let takes = self.takes_runs_of(job_key, worker_key, worker);
             Some(StepWorker {
                 worker_key,
                 slots: if takes {
@@ -248,16 +258,18 @@
     }
 
     /// Requests advice for the tasks of a step that is not a gang: again about the
-    /// eligible workers with free resources, or else about new ones.
+    /// eligible workers with free resources, or else about new ones. Suspected tasks
+    /// need workers without runs of other jobs, or else those with the fewest.
     fn request_for_tasks(
         &mut self,
         job_key: JobKey,
         step_index: usize,
         terms: &QueueTerms,
         spec: &StepSpec,
-        waiting: u32,
+        only_suspects: bool,
         plan: &mut RoundPlan,
     ) {
+        let waiting = self.jobs[job_key].steps[step_index].waiting;
         let advice = &self.jobs[job_key].steps[step_index].advice;
         if terms.advice.is_none() {
             return;
@@ -269,12 +281,17 @@
         if advice.retry_at > self.now || !self.may_request(terms, plan) {
             return;
         }
+        let spare = only_suspects.then(|| self.spare_for_suspects());
         let has_capacity = |worker_key: &WorkerKey| {
             self.workers.get(*worker_key).is_some_and(|worker| {
                 matches_step(worker, terms, spec)
-                    && self.takes_runs(worker)
+                    && self.takes_runs_of(job_key, *worker_key, worker)
                     && !plan.reserved.contains(worker_key)
                     && spec.demand.fits_within(&worker.free())
+                    && spare.is_none_or(|spare| {
+                        worker.is_vacant_for(job_key)
+                            && (spare > 0 || self.is_kept_for(job_key, *worker_key))
+                    })
             })
         };
         let known: Vec<_> = advice
@@ -297,12 +314,17 @@
                     self.workers[*worker_key].free().cpu_millis,
                 )
             });
+            let may_keep = spare.is_some_and(|spare| spare > 0);
+            if new.is_empty() && may_keep && advice.eligible.is_empty() {
+                new = self.least_committed(job_key, step_index, terms, spec);
+            }
             let rate = self.eligibility_rate(&self.jobs[job_key].submission.queue);
             let mut missing = rate.requested_for_tasks(u64::from(waiting));
             let chosen = new.into_iter().take_while(|worker_key| {
                 let is_needed = missing > 0;
                 let free = self.workers[*worker_key].free();
-                missing = missing.saturating_sub(u64::from(slots_in(&free, &spec.demand)));
+                let slots = u64::from(slots_in(&free, &spec.demand));
+                missing = missing.saturating_sub(slots.max(u64::from(only_suspects)));
                 is_needed
             });
             chosen.collect()
--- a/crates/pimentochute-work/src/cell/place_gang.rs
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -79,10 +79,23 @@
             .filter(|row| row.may_start)
             .map(|row| row.slots)
             .sum();
+        let suspects = self.waiting_suspects(job_key, step_index);
         if ready >= spec.tasks {
-            self.note_gang_wait(job_key, step_index, None);
             rows.retain(|row| row.may_start && row.slots > 0);
-            self.place_gang_members(job_key, step_index, spec, rows);
+            if suspects.is_empty() {
+                self.note_gang_wait(job_key, step_index, None);
+                let workers = gang_slots(rows, spec.tasks);
+                self.place_gang_members(job_key, step_index, spec, workers);
+                return;
+            }
+            if let Some((apart, rest)) = self.split_gang_workers(job_key, suspects.len(), &rows) {
+                self.note_gang_wait(job_key, step_index, None);
+                let workers = self.suspect_gang_slots(job_key, step_index, spec, apart, rest);
+                self.place_gang_members(job_key, step_index, spec, workers);
+                return;
+            }
+            self.note_gang_wait(job_key, step_index, Some(WaitReason::Suspects));
+            self.hold_cap(team, all, plan);
             return;
         }
         let slots: u32 = rows.iter().map(|row| row.slots).sum();
@@ -132,7 +145,7 @@
         job_key: JobKey,
         step_index: usize,
         spec: &StepSpec,
-        rows: Vec<StepWorker>,
+        workers: Vec<WorkerKey>,
     ) {
         self.share_checkpoint(job_key, step_index);
         let members = self.jobs[job_key].task_range(step_index);
@@ -141,11 +154,39 @@
             .map(|task| task.run)
             .max();
         let run = last.unwrap_or(0) + 1;
-        for (index, worker) in members.zip(gang_slots(rows, spec.tasks)) {
+        for (index, worker) in members.zip(workers) {
             self.place_task_run(job_key, index, worker, run, spec.demand);
         }
     }
 
+    /// Returns the worker of each member of a gang. The suspected members get those of
+    /// `apart`, which the others share with them as far as there is room.
+    fn suspect_gang_slots(
+        &self,
+        job_key: JobKey,
+        step_index: usize,
+        spec: &StepSpec,
+        apart: Vec<StepWorker>,
+        rest: Vec<StepWorker>,
+    ) -> Vec<WorkerKey> {
+        let room: u32 = apart.iter().map(|row| row.slots).sum();
+        let apart_tasks = room.min(spec.tasks);
+        let mut apart = gang_slots(apart, apart_tasks);
+        let mut rest = gang_slots(rest, spec.tasks - apart_tasks).into_iter();
+        let suspects = self.waiting_suspects(job_key, step_index);
+        let mut shared = apart.split_off(suspects.len()).into_iter();
+        let mut apart = apart.into_iter();
+        let members = self.jobs[job_key].task_range(step_index);
+        let workers = members.filter_map(|index| {
+            if suspects.contains(&index) {
+                apart.next()
+            } else {
+                shared.next().or_else(|| rest.next())
+            }
+        });
+        workers.collect()
+    }
+
     /// Reserves workers for a gang that does not fit now, those that lack the least
     /// for its tasks first.
     fn reserve(&self, rows: Vec<StepWorker>, spec: &StepSpec, plan: &mut RoundPlan) {
@@ -245,7 +286,7 @@
             })
             .enumerate()
             .map(|(index, (worker_key, worker))| {
-                let free = if self.takes_runs(worker) {
+                let free = if self.takes_runs_of(job_key, worker_key, worker) {
                     slots_in(&worker.free(), &spec.demand).min(spec.tasks)
                 } else {
                     0
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -81,7 +81,8 @@
         // to know the worker's runs before it extends their lease.
         let extends = may_extend && lease.has_control && !worker.runs.is_empty();
         let until = extends.then(|| lease.extend(&policy.lease, now)).flatten();
-        let waits = lease.has_control && !worker.runs.is_empty();
+        // The answer about a suspected task is awaited by others.
+        let waits = lease.has_control && !worker.runs.is_empty() && worker.apart_job.is_none();
         lease.is_polling = true;
         let command = PollCommand {
             worker: worker_key,
@@ -152,11 +153,14 @@
         }
         let worker = &mut self.workers[worker_key];
         worker.answered_poll_sent_at = command.sent;
+        worker.last_answer_at = now;
         worker.lease.update_clock(listing.clock, now);
         let is_current = command.token == worker.lease.token;
         let is_whole = listing.ended.len() < MAX_LISTED_ENDS;
+        self.retract_loss(worker_key);
         self.apply_ends(worker_key, &listing.ended);
         self.apply_running(worker_key, &listing.running);
+        self.clear_suspects(worker_key, command.sent);
         if is_current && is_whole {
             self.requeue_absent(command, listing);
             let worker = &mut self.workers[worker_key];
@@ -274,6 +278,9 @@
             .map(|(worker_key, _)| worker_key)
             .collect();
         for worker_key in expired {
+            if !self.workers[worker_key].report.is_draining {
+                self.count_loss(worker_key, false);
+            }
             self.requeue_runs(
                 worker_key,
                 "the lease of its worker expired without an answer",
--- a/crates/pimentochute-work/src/cell/records.rs
+++ b/crates/pimentochute-work/src/cell/records.rs
@@ -1,6 +1,7 @@
 //! Batches of records for the log, and the actions that wait for them.
 
 use crate::effect::CellEffect;
+use crate::job::CrashRecord;
 use crate::record::encode_record;
 use crate::{CallerAnswer, JobCode, JobKey, RecordError, ReplyKey, WorkerKey};
 use pimentochute_base::{MilliSpan, MilliTime};
@@ -28,12 +29,14 @@
 }
 
 /// The kind of a record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RecordKind {
     /// The job as it was submitted, see [`crate::JobSubmission`].
     Submission,
     /// The progress of the job, see [`crate::JobProgress`].
     Progress,
+    /// The losses of workers under its tasks, see [`crate::JobCrashes`].
+    Crashes,
 }
 
 /// A batch that is not known to be in the log.
@@ -78,6 +81,7 @@
         !(self.dirty.is_empty()
             && self.staged.is_empty()
             && self.expired.is_empty()
+            && self.orphaned_crashes.is_empty()
             && self.submitted.is_empty())
     }
 
@@ -100,7 +104,15 @@
             });
             self.staged.push(StagedAction::Submitted(key));
         }
+        for job in std::mem::take(&mut self.orphaned_crashes) {
+            batch.writes.push(RecordWrite {
+                job,
+                kind: RecordKind::Crashes,
+                value: Vec::new(),
+            });
+        }
         for key in std::mem::take(&mut self.dirty) {
+            batch.writes.extend(self.crash_write(key)?);
             let Some(job) = self.jobs.get(key) else {
                 continue;
             };
@@ -147,6 +159,31 @@
         Ok(Some(batch))
     }
 
+    /// Returns the write that brings the record of the crashes of a job up to date;
+    /// `None` if it is.
+    fn crash_write(&mut self, key: JobKey) -> Result<Option<RecordWrite>, RecordError> {
+        let is_closing = self.is_closing(key);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return Ok(None);
+        };
+        let value = match job.crash_record {
+            CrashRecord::Current | CrashRecord::Outdated if is_closing => {
+                job.crash_record = CrashRecord::Absent;
+                Vec::new()
+            }
+            CrashRecord::Absent | CrashRecord::Current => return Ok(None),
+            CrashRecord::Outdated => {
+                job.crash_record = CrashRecord::Current;
+                encode_record(&job.crashes())?
+            }
+        };
+        Ok(Some(RecordWrite {
+            job: job.code,
+            kind: RecordKind::Crashes,
+            value,
+        }))
+    }
+
     /// Returns, as a triple, the number of batches that are not known to be in
     /// the log, the age of the newest one and the age of the oldest one. The ages are zero if
     /// there is no batch.
--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -34,8 +34,9 @@
                 TaskPhase::Done => self.jobs[key].set_placement(index, TaskPlacement::Done),
                 TaskPhase::Placed { worker, started_at } => {
                     let worker = self.worker_for(&worker, started_at);
-                    let run =
-                        PlacedRun::restored(record.run, self.jobs[key].demand_of(index), self.now);
+                    let job = &self.jobs[key];
+                    let run = PlacedRun::restored(record.run, job.demand_of(index), self.now)
+                        .with_apart(job.tasks[index].crashes.is_suspect);
                     self.place_run(key, index, worker, run);
                 }
             }
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -34,9 +34,11 @@
     pub fn run_due_work(&mut self) {
         if self.now.since(self.last_maintenance_at) >= MAINTENANCE_INTERVAL {
             self.last_maintenance_at = self.now;
+            self.requeue_replaced();
             self.requeue_expired();
             self.stop_stalled();
             self.expire_jobs();
+            self.expire_losses();
             self.remove_departed();
             self.log_usage();
         }
@@ -91,6 +93,7 @@
         if is_slow || !self.may_extend_leases() {
             return;
         }
+        self.release_kept_workers();
         let mut plan = RoundPlan {
             max_free: self.max_free(),
             ..RoundPlan::default()
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -15,8 +15,8 @@
                 worker:% = report.id, pool:% = report.pool, address:% = report.address;
                 "cell: a new worker appeared in the platform's list"
             );
-            self.log_replaced(&report);
-            self.add_worker(report, true);
+            let key = self.add_worker(report, true);
+            self.claim_address(key);
             self.needs_placement = true;
             return;
         };
@@ -27,6 +27,7 @@
         }
         let has_restarted = report.started_at > worker.report.started_at;
         let has_moved = report.address != worker.report.address;
+        let claims_address = worker.is_replaced || has_restarted || has_moved;
         if report.is_draining && !worker.report.is_draining {
             log::info!(worker:% = report.id, runs = worker.runs.len(); "cell: a worker is draining");
         }
@@ -52,6 +53,9 @@
             worker.lease.raise_token();
             worker.lease.next_poll_at = now;
         }
+        if claims_address {
+            self.claim_address(key);
+        }
         self.needs_placement = true;
     }
 
@@ -94,27 +98,46 @@
         }
     }
 
-    /// Logs the workers whose address a new worker has. They have ended, and all
-    /// their runs with them.
-    fn log_replaced(&self, report: &WorkerReport) {
-        let now = self.now;
-        let replaced = self.workers.values().filter(|worker| {
-            worker.report.address == report.address && worker.report.started_at < report.started_at
+    /// Gives a worker's address to the one of its holders that started last. The other
+    /// one has ended, and all its runs with it.
+    fn claim_address(&mut self, key: WorkerKey) {
+        let report = &self.workers[key].report;
+        let (address, started_at) = (report.address.clone(), report.started_at);
+        let holder = self.address_holders.get(&address).copied();
+        let holder = holder.filter(|holder| {
+            let held = self.workers.get(*holder);
+            *holder != key && held.is_some_and(|held| held.report.address == address)
         });
-        for worker in replaced {
-            let acknowledged = worker.runs.values().filter_map(|run| run.acknowledged_at);
-            let youngest = acknowledged.max().unwrap_or(worker.answered_poll_sent_at);
-            log::warn!(
-                worker:% = worker.report.id,
-                replaced_by:% = report.id,
-                address:% = report.address,
-                draining = worker.report.is_draining,
-                runs = worker.runs.len(),
-                silence:% = now.since(worker.answered_poll_sent_at),
-                youngest_run:% = now.since(youngest);
-                "cell: a worker was replaced at its address"
-            );
+        if let Some(holder) = holder {
+            let held = &self.workers[holder];
+            if held.report.started_at > started_at && held.in_platform_list {
+                self.replace_worker(key, holder);
+                return;
+            }
+            if held.report.started_at < started_at {
+                self.replace_worker(holder, key);
+            }
         }
+        self.workers[key].is_replaced = false;
+        self.address_holders.insert(address, key);
+        self.confirm_crashes(key);
+    }
+
+    fn replace_worker(&mut self, key: WorkerKey, successor: WorkerKey) {
+        let worker = &self.workers[key];
+        if worker.is_replaced {
+            return;
+        }
+        log::warn!(
+            worker:% = worker.report.id,
+            replaced_by:% = self.workers[successor].report.id,
+            address:% = worker.report.address,
+            draining = worker.report.is_draining,
+            runs = worker.runs.len(),
+            silence:% = self.now.since(worker.last_answer_at);
+            "cell: a worker was replaced at its address"
+        );
+        self.workers[key].is_replaced = true;
     }
 
     /// Returns whether new runs may be placed on a worker.
@@ -134,6 +157,9 @@
     /// Resets what is known of a worker that has restarted. It runs nothing from
     /// before, and the next poll shows which orders reached the new incarnation.
     pub(super) fn reset_worker(&mut self, key: WorkerKey) {
+        if !self.workers[key].runs.is_empty() {
+            self.count_loss(key, true);
+        }
         let worker = &mut self.workers[key];
         log::info!(
             worker:% = worker.report.id, runs = worker.runs.len();
@@ -158,6 +184,23 @@
         }
     }
 
+    /// Requeues the runs of workers that were replaced.
+    pub(super) fn requeue_replaced(&mut self) {
+        let replaced: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_replaced && !worker.runs.is_empty())
+            .map(|(worker_key, _)| worker_key)
+            .collect();
+        for worker_key in replaced {
+            // A worker that drains ends its runs without a crash.
+            if !self.workers[worker_key].report.is_draining {
+                self.count_loss(worker_key, true);
+            }
+            self.requeue_runs(worker_key, "its worker was replaced");
+        }
+    }
+
     /// Removes the workers that are absent from the platform's list and have no
     /// runs.
     pub(super) fn remove_departed(&mut self) {
@@ -172,6 +215,9 @@
         for (key, id) in gone {
             if let Some(worker) = self.workers.remove(key) {
                 self.first_token = self.first_token.max(worker.lease.token + 1);
+                if self.address_holders.get(&worker.report.address) == Some(&key) {
+                    self.address_holders.remove(&worker.report.address);
+                }
             }
             self.worker_keys.remove(&id);
         }
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -6,9 +6,10 @@
 use smallvec::SmallVec;
 use strum::IntoStaticStr;
 
+use crate::crash::CrashHistory;
 use crate::{
-    AdviceState, JobCode, JobEnd, JobProgress, JobSubmission, QueueTerms, StepName, StepSpec,
-    TaskName, TaskPhase, TaskProgress, WorkerKey,
+    AdviceState, JobCode, JobCrashes, JobEnd, JobProgress, JobSubmission, QueueTerms, StepName,
+    StepSpec, TaskName, TaskPhase, TaskProgress, WorkerKey,
 };
 
 /// A job, its tasks and its steps.
@@ -36,6 +37,7 @@
     /// A worker has answered that a task of the job started. A start order that
     /// was sent proves nothing: its worker may be unreachable.
     pub(crate) has_started: bool,
+    pub(crate) crash_record: CrashRecord,
     /// The team's rate when this job arrived.
     pub(crate) rate: RateStatus,
     /// The offset of the first task of each step within an occurrence.
@@ -53,6 +55,17 @@
     Host,
 }
 
+/// Whether the log has what is known of the losses of workers under the tasks of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CrashRecord {
+    /// There is nothing to record, and no record.
+    Absent,
+    /// The record is up to date.
+    Current,
+    /// The record, if there is one, has to be written.
+    Outdated,
+}
+
 /// Whether a team submits jobs within its rate. The order is that of the ranks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -75,6 +88,8 @@
     pub(crate) placement: TaskPlacement,
     /// The checkpoint from which the next run starts; empty if there is none.
     pub(crate) checkpoint: String,
+    /// The workers that were lost under the task.
+    pub(crate) crashes: CrashHistory,
     /// The worker of the last failed run, which is chosen last.
     pub(crate) failed_on: Option<WorkerKey>,
 }
@@ -100,6 +115,9 @@
     Tickets,
     /// The eligible workers have not enough free resources.
     Resources,
+    /// Members are suspected of crashing their workers, and no worker is without runs of
+    /// other jobs.
+    Suspects,
 }
 
 /// The furthest checkpoint of a gang.
@@ -131,6 +149,13 @@
     pub(crate) gang_checkpoint: GangCheckpoint,
 }
 
+impl TaskState {
+    /// Returns whether the task waits and has to run apart from other jobs.
+    pub(crate) fn is_waiting_suspect(&self) -> bool {
+        self.crashes.is_suspect && self.placement == TaskPlacement::Waiting
+    }
+}
+
 impl JobState {
     /// Creates the state of a job whose tasks all wait.
     pub(crate) fn new(code: JobCode, submission: JobSubmission) -> Self {
@@ -162,6 +187,7 @@
             origin: JobOrigin::Owner,
             runs: 0,
             has_started: false,
+            crash_record: CrashRecord::Absent,
             rate: RateStatus::Within,
             offsets,
             per_occurrence,
@@ -271,6 +297,21 @@
         self.end.is_none() && self.steps.iter().any(|step| step.waiting > 0)
     }
 
+    /// Returns whether a task waits that has to run apart from other jobs.
+    pub(crate) fn has_waiting_suspect(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        tasks.any(TaskState::is_waiting_suspect)
+    }
+
+    /// Returns the record of the losses of workers under the tasks.
+    pub(crate) fn crashes(&self) -> JobCrashes {
+        let tasks = self.tasks.iter().enumerate();
+        let rows = tasks.filter_map(|(index, task)| task.crashes.to_record(index));
+        JobCrashes {
+            tasks: rows.collect(),
+        }
+    }
+
     /// Returns whether all tasks are done.
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.unfinished == 0)
--- a/crates/pimentochute-work/src/lib.rs
+++ b/crates/pimentochute-work/src/lib.rs
@@ -8,6 +8,7 @@
 mod advice;
 mod cell;
 mod config;
+mod crash;
 mod effect;
 mod ids;
 mod job;
@@ -28,8 +29,8 @@
 pub use ids::{JobCode, JobCodeError, JobKey, StepName, TaskName, WorkerKey};
 pub use policy::{CellPolicy, LeasePolicy, PollPolicy};
 pub use record::{
-    JobEnd, JobProgress, JobSubmission, QueueTerms, RecordError, TaskPhase, TaskProgress,
-    decode_record, encode_record,
+    JobCrashes, JobEnd, JobProgress, JobSubmission, QueueTerms, RecordError, TaskCrashes,
+    TaskPhase, TaskProgress, decode_record, encode_record,
 };
 pub use spec::{JobSchedule, JobSpec, MAX_TASKS, SpecError, StepSpec};
 pub use worker::{EndedRow, RunEnd, RunningRow, WorkerListing, WorkerReport, WorkerTarget};
--- a/crates/pimentochute-work/src/record.rs
+++ b/crates/pimentochute-work/src/record.rs
@@ -69,6 +69,29 @@
     pub checkpoint: String,
 }
 
+/// The losses of workers under the tasks of a job. It is a record of its own, written
+/// only for jobs that have any, so that owners that do not know it ignore it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobCrashes {
+    /// The tasks under which a worker was lost.
+    pub tasks: Vec<TaskCrashes>,
+}
+
+/// The losses of workers under a task.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    /// The index of the task, ordered by occurrence, step and index.
+    pub task: u32,
+    /// The workers that were lost.
+    pub losses: u32,
+    /// Those of them that are known to have crashed.
+    pub crashes: u32,
+    /// Those of them on which no other job had a run.
+    pub lone_losses: u32,
+    /// The task has to run apart from other jobs.
+    pub is_suspect: bool,
+}
+
 /// Whether a task waits, is placed on a worker or is done.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskPhase {
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -12,6 +12,8 @@
     pub(crate) report: WorkerReport,
     /// The worker is in the platform's list.
     pub(crate) in_platform_list: bool,
+    /// A worker that started later has the same address, so this one has ended.
+    pub(crate) is_replaced: bool,
     /// When the last entry of the worker was received, on the cell's clock.
     pub(crate) reported_at: MilliTime,
     pub(crate) lease: LeaseState,
@@ -19,6 +21,9 @@
     /// their demands is `committed`.
     pub(crate) runs: BTreeMap<(JobKey, usize), PlacedRun>,
     pub(crate) committed: ResourceAmount,
+    /// The job of a run that has to be apart from other jobs; no other job gets runs
+    /// here meanwhile.
+    pub(crate) apart_job: Option<JobKey>,
     /// The highest number of an end that was applied.
     pub(crate) applied_end: u64,
     /// The highest number of an end that is in the log. The worker may forget its
@@ -26,6 +31,8 @@
     pub(crate) last_recorded_end: u64,
     /// When the last poll that was answered was sent, on the cell's clock.
     pub(crate) answered_poll_sent_at: MilliTime,
+    /// When an order was last answered, on the cell's clock.
+    pub(crate) last_answer_at: MilliTime,
     /// The number of failed runs since the last success.
     pub(crate) failures: u32,
     /// No run starts here before this time, on the cell's clock.
@@ -154,6 +161,9 @@
     pub(crate) percent: u32,
     /// When `percent` last changed, on the cell's clock.
     pub(crate) percent_at: MilliTime,
+    /// The task is suspected of crashing its workers, so that other jobs have no runs
+    /// beside it.
+    pub(crate) is_apart: bool,
 }
 
 /// The lease, the fencing token, control and the poll state of a worker.
@@ -193,6 +203,7 @@
         Self {
             report,
             in_platform_list: true,
+            is_replaced: false,
             reported_at: now,
             lease: LeaseState {
                 token,
@@ -206,9 +217,11 @@
             },
             runs: BTreeMap::new(),
             committed: ResourceAmount::ZERO,
+            apart_job: None,
             applied_end: 0,
             last_recorded_end: 0,
             answered_poll_sent_at: MilliTime::ZERO,
+            last_answer_at: now,
             failures: 0,
             avoid_until: MilliTime::ZERO,
             open_starts: OpenStarts::default(),
@@ -233,6 +246,7 @@
     /// could not be given to another worker before its lease ends.
     pub(crate) fn takes_runs(&self, now: MilliTime, answer_limit: MilliSpan) -> bool {
         self.in_platform_list
+            && !self.is_replaced
             && !self.report.is_draining
             && self.lease.has_control
             && self.avoid_until <= now
@@ -242,9 +256,10 @@
     /// Returns whether the worker has to be polled: the owner lacks control, the
     /// worker still has to be told that ends are recorded, or it may have runs.
     pub(crate) fn needs_polling(&self) -> bool {
-        !self.lease.has_control
-            || self.last_recorded_end < self.applied_end
-            || self.runs.values().any(|run| run.order_token.is_some())
+        !self.is_replaced
+            && (!self.lease.has_control
+                || self.last_recorded_end < self.applied_end
+                || self.runs.values().any(|run| run.order_token.is_some()))
     }
 
     /// Returns the free resources.
@@ -264,14 +279,27 @@
             self.committed = self.committed.saturating_sub(&before.demand);
         }
         self.committed += run.demand;
+        self.update_apart_job();
         before
     }
 
     pub(crate) fn remove_run(&mut self, job: JobKey, task: usize) -> Option<PlacedRun> {
         let run = self.runs.remove(&(job, task))?;
         self.committed = self.committed.saturating_sub(&run.demand);
+        self.update_apart_job();
         Some(run)
     }
+
+    /// Returns whether no other job than this one has runs here.
+    pub(crate) fn is_vacant_for(&self, job: JobKey) -> bool {
+        self.runs.keys().all(|(holder, _)| *holder == job)
+    }
+
+    /// Updates `apart_job` after a change of the runs.
+    pub(crate) fn update_apart_job(&mut self) {
+        let mut apart = self.runs.iter().filter(|(_, run)| run.is_apart);
+        self.apart_job = apart.next().map(|((job, _), _)| *job);
+    }
 }
 
 /// How long workers take to answer a start, as the owner sees it.
@@ -337,9 +365,16 @@
             stop_sent: None,
             percent: 0,
             percent_at: now,
+            is_apart: false,
         }
     }
 
+    /// Returns the run with another value of `is_apart`.
+    pub(crate) const fn with_apart(mut self, is_apart: bool) -> Self {
+        self.is_apart = is_apart;
+        self
+    }
+
     /// Creates a run that a previous owner may have started.
     pub(crate) const fn restored(number: u32, demand: ResourceAmount, now: MilliTime) -> Self {
         let mut placed = Self::new(number, demand, now);
--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -8,11 +8,11 @@
 use fastrand::Rng;
 use pimentochute_base::{MilliSpan, MilliTime};
 use pimentochute_work::{
-    CellEffect, EndedRow, JobCode, JobStatus, OrderError, PollCommand, RunEnd, RunningRow,
-    StartCommand, WorkerListing,
+    CellEffect, EndedRow, JobCode, JobStatus, JobSubmission, OrderError, PollCommand, RecordKind,
+    RunEnd, RunningRow, StartCommand, WorkerListing, decode_record,
 };
 use test_case::test_case;
-use work_support::{ADVISED, PLAIN, TestCell, gang, job, print_logs, report};
+use work_support::{ADVISED, PLAIN, TestCell, gang, job, print_logs, report, submission};
 
 /// The step of the simulated time, in milliseconds.
 const TICK: u64 = 10;
@@ -28,6 +28,8 @@
 const ARRIVAL_PHASE: u64 = 10_000;
 /// The time after that in which every job has to end, in milliseconds.
 const DRAIN_PHASE: u64 = 60_000;
+/// The time in which owners change, in milliseconds.
+const OWNER_PHASE: u64 = 30_000;
 /// The number of crashes after which the platform counts further starts of a task.
 const COUNTED_CRASHES: u32 = 3;
 /// The number of starts after [`COUNTED_CRASHES`] that the platform allows.
@@ -65,9 +67,14 @@
     /// The crashed workers that the list still has, and until when.
     listed_until: Vec<(String, MilliTime)>,
     deadly: BTreeSet<JobCode>,
+    gangs: BTreeSet<JobCode>,
     sound: BTreeMap<JobCode, MilliTime>,
     histories: BTreeMap<String, TaskHistory>,
     next_worker: usize,
+    epoch: u64,
+    /// The log: the newest record of each kind of a job.
+    log: BTreeMap<(JobCode, RecordKind), Vec<u8>>,
+    submissions: BTreeMap<JobCode, JobSubmission>,
     /// How long a crashed worker is away, in milliseconds.
     down_time: u64,
     crashes: u32,
@@ -83,9 +90,13 @@
             answers: Vec::new(),
             listed_until: Vec::new(),
             deadly: BTreeSet::new(),
+            gangs: BTreeSet::new(),
             sound: BTreeMap::new(),
             histories: BTreeMap::new(),
             next_worker: 0,
+            epoch: 1,
+            log: BTreeMap::new(),
+            submissions: BTreeMap::new(),
             down_time,
             crashes: 0,
         };
@@ -122,6 +133,32 @@
         }
     }
 
+    /// Starts a new owner, which knows only what the log has.
+    fn change_owner(&mut self) {
+        let now = self.test.now;
+        self.epoch += 1;
+        self.test = TestCell::new(self.epoch);
+        self.test.step(now.since(self.test.now).as_millis());
+        self.answers.clear();
+        self.report_workers();
+        for (code, submission) in &self.submissions {
+            self.test.cell.accept_from_intake(*code, submission.clone());
+        }
+        let records = self.log.iter().filter(|(_, value)| !value.is_empty());
+        let (crashes, others): (Vec<_>, Vec<_>) =
+            records.partition(|((_, kind), _)| *kind == RecordKind::Crashes);
+        for ((code, _), value) in crashes {
+            let record = decode_record(value).expect("decodes");
+            self.test.cell.restore_crashes(*code, record);
+        }
+        for ((code, kind), value) in others {
+            if *kind == RecordKind::Progress {
+                let record = decode_record(value).expect("decodes");
+                self.test.cell.restore_progress(*code, record);
+            }
+        }
+    }
+
     fn submit(&mut self, code: u64, is_deadly: bool) {
         let tasks = self.rng.u32(1..5);
         let demand = self.rng.u64(500..2_000);
@@ -132,8 +169,13 @@
             job(tasks, demand)
         };
         let queue = if self.rng.bool() { PLAIN } else { ADVISED };
-        self.test.submit(code, queue, spec);
         let code = JobCode::new(code);
+        let submission = submission(queue, spec, self.test.now);
+        self.submissions.insert(code, submission.clone());
+        self.test.cell.accept_from_intake(code, submission);
+        if is_gang {
+            self.gangs.insert(code);
+        }
         if is_deadly {
             self.deadly.insert(code);
         } else {
@@ -164,7 +206,10 @@
         }
         self.test.cell.run_due_work();
         let mut effects = self.test.cell.take_effects();
-        if self.test.cell.take_batch().expect("encodes").is_some() {
+        if let Some(batch) = self.test.cell.take_batch().expect("encodes") {
+            for write in batch.writes {
+                self.log.insert((write.job, write.kind), write.value);
+            }
             self.test.cell.batch_recorded();
             effects.extend(self.test.cell.take_effects());
         }
@@ -242,14 +287,21 @@
                 self.answers.push((poll, answer));
             }
             CellEffect::RequestAdvice(request) => self.test.answer_request(&request),
-            CellEffect::DropIntake(_) | CellEffect::Reply(..) => {}
+            CellEffect::DropIntake(job) => {
+                self.submissions.remove(&job);
+            }
+            CellEffect::Reply(..) => {}
         }
     }
 
     fn start(&mut self, start: &StartCommand) {
         let now = self.test.now;
         let is_deadly = self.is_deadly(start);
-        let duration = self.rng.u64(300..2_500);
+        let mut duration = self.rng.u64(300..2_500);
+        if self.deadly.contains(&start.task.job) && self.gangs.contains(&start.task.job) {
+            // A gang works only while all of its members do.
+            duration = DRAIN_PHASE;
+        }
         let Some(worker) = self.reach(&start.target.id) else {
             let lost = Err(OrderError::OutcomeUnknown);
             self.test.cell.start_answered(start, lost);
@@ -282,20 +334,21 @@
         self.test.cell.state(code)
     }
 
-    /// Lets jobs arrive, one in `deadly_in` of them deadly, until all have ended.
-    fn run(&mut self, deadly_in: u64) {
+    /// Lets jobs arrive, one in `deadly_in` of them deadly, until all have ended. The
+    /// owner changes each `owner_ticks`.
+    fn run(&mut self, deadly_in: u64, owner_ticks: u64) {
         let mut code: u64 = 0;
-        for _ in 0..ARRIVAL_PHASE / TICK {
-            if self.rng.u8(0..10) == 0 {
+        for tick in 1..=(ARRIVAL_PHASE + DRAIN_PHASE) / TICK {
+            if tick.is_multiple_of(owner_ticks) && tick * TICK <= OWNER_PHASE {
+                self.change_owner();
+            }
+            if tick * TICK <= ARRIVAL_PHASE && self.rng.u8(0..10) == 0 {
                 code += 1;
                 let is_deadly = code.is_multiple_of(deadly_in);
                 self.submit(code, is_deadly);
             }
             self.tick();
         }
-        for _ in 0..DRAIN_PHASE / TICK {
-            self.tick();
-        }
         for code in self.sound.keys() {
             assert_eq!(
                 self.state(*code),
@@ -324,6 +377,22 @@
     print_logs();
     for seed in seeds {
         let mut simulation = CrashSimulation::new(seed, down_time);
-        simulation.run(10);
+        simulation.run(10, u64::MAX);
+    }
+}
+
+/// Guards against an owner that forgets the crashes that its predecessor has seen.
+#[test_case(20..28, 3_300, 210 ; "changes each two seconds")]
+#[test_case(28..36, 3_300, 870 ; "changes each nine seconds")]
+#[test_case(36..44, 9_000, 1_130 ; "changes each eleven seconds and workers away for long")]
+fn a_new_owner_knows_the_tasks_that_crashed_their_workers(
+    seeds: std::ops::Range<u64>,
+    down_time: u64,
+    owner_ticks: u64,
+) {
+    print_logs();
+    for seed in seeds {
+        let mut simulation = CrashSimulation::new(seed, down_time);
+        simulation.run(10, owner_ticks);
     }
 }
--- a/tests/tests/work_faults.rs
+++ b/tests/tests/work_faults.rs
@@ -11,9 +11,10 @@
 use pimentochute_base::{EpochNumber, MilliSpan, MilliTime};
 use pimentochute_tests::FleetWorker;
 use pimentochute_work::{
-    AdviceCommand, AdviceRow, CallerAnswer, CellEffect, CellPolicy, JobCode, JobProgress, JobSpec,
-    JobStatus, JobSubmission, OrderError, PollCommand, RecordBatch, RecordKind, ReplyKey, RunEnd,
-    StartCommand, StepName, StopCommand, TaskName, WorkCell, WorkerListing, decode_record,
+    AdviceCommand, AdviceRow, CallerAnswer, CellEffect, CellPolicy, JobCode, JobCrashes,
+    JobProgress, JobSpec, JobStatus, JobSubmission, OrderError, PollCommand, RecordBatch,
+    RecordKind, ReplyKey, RunEnd, StartCommand, StepName, StopCommand, TaskName, WorkCell,
+    WorkerListing, decode_record,
 };
 use test_case::test_case;
 use work_support::{ADVISED, PLAIN, config, gang, job, print_logs, report, submission};
@@ -72,6 +73,8 @@
     fleet: Vec<FleetWorker>,
     /// The log: the progress records of the present epoch and before.
     log: BTreeMap<JobCode, JobProgress>,
+    /// The log: the records of crashes.
+    crashes: BTreeMap<JobCode, JobCrashes>,
     /// The jobs that callers submitted.
     submissions: BTreeMap<JobCode, JobSubmission>,
     /// The submissions that are in the log.
@@ -115,6 +118,7 @@
                 .map(|index| FleetWorker::new(report(index, WORKER_CPU), now))
                 .collect(),
             log: BTreeMap::new(),
+            crashes: BTreeMap::new(),
             submissions: BTreeMap::new(),
             recorded: BTreeSet::new(),
             dropped: BTreeSet::new(),
@@ -176,6 +180,9 @@
             self.cell
                 .accept_from_intake(*code, self.submissions[code].clone());
         }
+        for (code, crashes) in &self.crashes {
+            self.cell.restore_crashes(*code, crashes.clone());
+        }
         for (code, progress) in &self.log {
             self.cell.restore_progress(*code, progress.clone());
         }
@@ -472,6 +479,13 @@
                     let progress = decode_record(&write.value).expect("decodes");
                     self.log.insert(write.job, progress);
                 }
+                RecordKind::Crashes if write.value.is_empty() => {
+                    self.crashes.remove(&write.job);
+                }
+                RecordKind::Crashes => {
+                    let crashes = decode_record(&write.value).expect("decodes");
+                    self.crashes.insert(write.job, crashes);
+                }
             }
         }
     }
