Start suspected tasks on calm workers, and count only answered starts as crashes

Causes: (1) a start that its worker had not answered when it crashed counted as a crash of the task, although it may never have started. (3) Suspects asked for advice about workers on which they could not start, and never about the new ones. (4) A new owner suspected all runs of its predecessor, since it had not seen their starts answered. Change: a suspect starts where all other runs have shown that they do no harm, and nothing starts beside it until it has. A crash in that time is its own. Only one that was the sole suspect before waits for an empty worker for a while. Advice is asked for about workers on which the suspect may start. Runs that were inherited or not answered are losses, not crashes.

--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -85,8 +85,6 @@
     relays: AdviceRelays,
     /// The workers that the last placement round kept free for gangs.
     reserved_workers: BTreeSet<WorkerKey>,
-    /// The workers that are kept free for a suspected task of a job.
-    kept_workers: BTreeMap<WorkerKey, JobKey>,
     /// The workers of which it is not known yet whether they crashed.
     lost_workers: Vec<LostWorker>,
     start_delay: StartDelay,
@@ -146,7 +144,6 @@
             eligibility_rates: BTreeMap::new(),
             relays: AdviceRelays::default(),
             reserved_workers: BTreeSet::new(),
-            kept_workers: BTreeMap::new(),
             lost_workers: Vec::new(),
             start_delay: StartDelay::default(),
             is_superseded: false,
--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -1,9 +1,8 @@
-//! Losses of workers: which tasks they count against, and which workers a suspected
-//! task has for itself.
+//! Losses of workers: which tasks they count against, and where suspected tasks start.
 
 use pimentochute_base::{MilliSpan, MilliTime};
 
-use crate::crash::{RunLoss, START_CRASH_WINDOW};
+use crate::crash::{RunLoss, StartStatus};
 use crate::job::{CrashRecord, TaskPlacement};
 use crate::worker::WorkerState;
 use crate::{JobCode, JobCrashes, JobEnd, JobKey, WorkerKey};
@@ -14,8 +13,12 @@
 /// tells whether it had crashed.
 const LOSS_MEMORY: MilliSpan = MilliSpan::new(60_000);
 
-/// At most one in this many workers is kept for suspected tasks.
-const MAX_APART_DIVISOR: usize = 8;
+/// How long a task that is almost certainly guilty waits for a worker without runs.
+const VACANT_WAIT: MilliSpan = MilliSpan::new(30_000);
+
+/// At most one in this many workers starts suspected tasks at a time, unless more are
+/// without runs.
+const MAX_APART_DIVISOR: usize = 12;
 
 /// A worker whose runs were requeued without knowing whether it had crashed.
 #[derive(Debug)]
@@ -44,7 +47,7 @@
             worker:% = worker.report.id,
             crashed = is_crash,
             runs = runs.len(),
-            recent = runs.iter().filter(|run| run.loss.is_recent).count(),
+            settled = runs.iter().filter(|run| run.loss.start == StartStatus::Settled).count(),
             silence:% = self.now.since(worker.last_answer_at);
             "cell: a worker is lost"
         );
@@ -68,9 +71,6 @@
     /// Returns the runs of a worker whose start was sent.
     fn lost_runs(&self, worker_key: WorkerKey, is_crash: bool) -> Vec<LostRun> {
         let worker = &self.workers[worker_key];
-        let mut jobs: Vec<_> = worker.runs.keys().map(|(job, _)| *job).collect();
-        jobs.dedup();
-        let is_lone = jobs.len() == 1;
         let sent = worker.runs.iter().filter(|((job, index), run)| {
             let placement = self.jobs[*job].tasks[*index].placement;
             run.order_token.is_some() && placement == TaskPlacement::Placed(worker_key)
@@ -80,10 +80,8 @@
             index: *index,
             loss: RunLoss {
                 is_crash,
-                is_lone,
-                is_recent: run
-                    .acknowledged_at
-                    .is_none_or(|at| worker.last_answer_at.since(at) < START_CRASH_WINDOW),
+                is_sole: self.is_calm_for(*job, worker),
+                start: worker.start_status(run),
             },
         });
         runs.collect()
@@ -94,13 +92,15 @@
         let job = &mut self.jobs[run.job];
         job.crash_record = CrashRecord::Outdated;
         self.dirty.insert(run.job);
+        job.tasks[run.index].lost_at = self.now;
         let history = job.tasks[run.index].crashes;
+        let start_text: &str = run.loss.start.into();
         log::info!(
             task:% = job.name_of(run.index),
             losses = history.losses,
             crashes = history.crashes,
-            lone = run.loss.is_lone,
-            recent = run.loss.is_recent,
+            sole = run.loss.is_sole,
+            start = start_text,
             suspect = history.is_suspect;
             "cell: a task lost its worker"
         );
@@ -172,7 +172,10 @@
         job.crash_record = CrashRecord::Current;
         for row in record.tasks {
             match job.tasks.get_mut(row.task as usize) {
-                Some(task) => task.crashes = row.into(),
+                Some(task) => {
+                    task.crashes = row.into();
+                    task.lost_at = self.now;
+                }
                 None => {
                     log::error!(job:% = code, task = row.task; "cell: a crash record names a task that its job does not have");
                 }
@@ -206,21 +209,37 @@
         worker.update_apart_job();
     }
 
-    /// Returns whether a worker takes runs of a job: it takes runs at all, and is not
-    /// kept for a suspected task of another job.
-    pub(super) fn takes_runs_of(
+    /// Returns whether a worker takes runs of a job: it takes runs at all, and no
+    /// suspected task of another job is starting there.
+    pub(super) fn takes_runs_of(&self, job_key: JobKey, worker: &WorkerState) -> bool {
+        self.takes_runs(worker) && worker.apart_job.is_none_or(|apart| apart == job_key)
+    }
+
+    /// Returns whether a suspected task may start on a worker. One that was the only
+    /// suspect before is almost certainly guilty, and waits for a worker without runs
+    /// for a while.
+    pub(super) fn is_worker_for_suspect(
         &self,
         job_key: JobKey,
-        worker_key: WorkerKey,
+        index: usize,
         worker: &WorkerState,
     ) -> bool {
-        let kept_for = self.kept_workers.get(&worker_key);
-        self.takes_runs(worker)
-            && kept_for.is_none_or(|kept_for| *kept_for == job_key)
-            && worker.apart_job.is_none_or(|apart| apart == job_key)
+        let task = &self.jobs[job_key].tasks[index];
+        let may_harm = task.crashes.sole_losses == 0 || self.now.since(task.lost_at) >= VACANT_WAIT;
+        self.is_calm_for(job_key, worker) && (may_harm || worker.runs.is_empty())
     }
 
-    /// Returns how many further workers may be kept for suspected tasks.
+    /// Returns whether a crash of a worker could not be due to a run of another job than
+    /// this one.
+    pub(super) fn is_calm_for(&self, job_key: JobKey, worker: &WorkerState) -> bool {
+        let mut others = worker.runs.iter().filter(|((job, _), _)| *job != job_key);
+        others.all(|((job, index), run)| {
+            let history = &self.jobs[*job].tasks[*index].crashes;
+            history.losses == 0 && worker.start_status(run) == StartStatus::Settled
+        })
+    }
+
+    /// Returns on how many further workers suspected tasks may start.
     pub(super) fn spare_for_suspects(&self) -> usize {
         let workers = self.workers.values();
         let apart = workers.filter(|worker| worker.apart_job.is_some());
@@ -228,21 +247,8 @@
             .workers
             .values()
             .filter(|worker| worker.runs.is_empty() && self.takes_runs(worker));
-        let limit = (self.workers.len() / MAX_APART_DIVISOR).max(vacant.count() / 2);
-        limit
-            .max(1)
-            .saturating_sub(apart.count() + self.kept_workers.len())
-    }
-
-    /// Ends the reservations of workers for suspected tasks that no longer wait.
-    pub(super) fn release_kept_workers(&mut self) {
-        let mut kept = std::mem::take(&mut self.kept_workers);
-        kept.retain(|worker_key, job_key| {
-            let worker = self.workers.get(*worker_key);
-            let job = self.jobs.get(*job_key);
-            worker.is_some_and(|worker| self.takes_runs(worker))
-                && job.is_some_and(|job| job.end.is_none() && job.has_waiting_suspect())
-        });
-        self.kept_workers = kept;
+        let vacant = vacant.count();
+        let limit = (self.workers.len() / MAX_APART_DIVISOR).max(vacant - vacant / 4);
+        limit.max(1).saturating_sub(apart.count())
     }
 }
--- a/crates/pimentochute-work/src/cell/place.rs
+++ b/crates/pimentochute-work/src/cell/place.rs
@@ -98,8 +98,7 @@
             self.place_suspects(job_key, &suspects, spec, &mut rows, plan);
         }
         rows.retain(|row| {
-            let is_apart = self.workers[row.worker_key].apart_job.is_some()
-                || self.kept_workers.contains_key(&row.worker_key);
+            let is_apart = self.workers[row.worker_key].apart_job.is_some();
             row.slots > 0 && row.may_start && !is_apart
         });
         let mut usable = rows;
@@ -118,11 +117,12 @@
             let run = self.jobs[job_key].tasks[index].run + 1;
             self.place_task_run(job_key, index, worker, run, spec.demand);
         }
-        let suspects = self.waiting_suspects(job_key, step_index).len();
+        let suspects = self.waiting_suspects(job_key, step_index);
         let waiting = self.jobs[job_key].steps[step_index].waiting;
         if waiting > 0 {
-            let only_suspects = suspects == waiting as usize;
-            self.request_for_tasks(job_key, step_index, terms, spec, only_suspects, plan);
+            let only_suspects = suspects.len() == waiting as usize;
+            let first_suspect = suspects.first().copied().filter(|_| only_suspects);
+            self.request_for_tasks(job_key, step_index, terms, spec, first_suspect, plan);
         }
     }
 
@@ -213,7 +213,7 @@
                 spec.max_per_worker
             };
             let limit = limit.saturating_sub(here);
-            let takes = self.takes_runs_of(job_key, worker_key, worker);
+            let takes = self.takes_runs_of(job_key, worker);
             Some(StepWorker {
                 worker_key,
                 slots: if takes {
@@ -258,17 +258,18 @@
     }
 
     /// Requests advice for the tasks of a step that is not a gang: again about the
-    /// eligible workers with free resources, or else about new ones. Suspected tasks
-    /// need workers without runs of other jobs, or else those with the fewest.
+    /// eligible workers with free resources, or else about new ones. `first_suspect` is
+    /// set if only suspected tasks wait.
     fn request_for_tasks(
         &mut self,
         job_key: JobKey,
         step_index: usize,
         terms: &QueueTerms,
         spec: &StepSpec,
-        only_suspects: bool,
+        first_suspect: Option<usize>,
         plan: &mut RoundPlan,
     ) {
+        let only_suspects = first_suspect.is_some();
         let waiting = self.jobs[job_key].steps[step_index].waiting;
         let advice = &self.jobs[job_key].steps[step_index].advice;
         if terms.advice.is_none() {
@@ -281,22 +282,25 @@
         if advice.retry_at > self.now || !self.may_request(terms, plan) {
             return;
         }
-        let spare = only_suspects.then(|| self.spare_for_suspects());
+        let first_suspect = first_suspect.filter(|_| self.spare_for_suspects() > 0);
+        if only_suspects && first_suspect.is_none() {
+            return;
+        }
         let has_capacity = |worker_key: &WorkerKey| {
             self.workers.get(*worker_key).is_some_and(|worker| {
                 matches_step(worker, terms, spec)
-                    && self.takes_runs_of(job_key, *worker_key, worker)
+                    && self.takes_runs_of(job_key, worker)
                     && !plan.reserved.contains(worker_key)
                     && spec.demand.fits_within(&worker.free())
-                    && spare.is_none_or(|spare| {
-                        worker.is_vacant_for(job_key)
-                            && (spare > 0 || self.is_kept_for(job_key, *worker_key))
-                    })
+                    && first_suspect
+                        .is_none_or(|index| self.is_worker_for_suspect(job_key, index, worker))
             })
         };
+        // A suspect that waits for other reasons keeps its tickets.
         let known: Vec<_> = advice
             .eligible
             .iter()
+            .filter(|row| first_suspect.is_none() || row.valid_until <= self.now)
             .map(|row| row.worker)
             .filter(has_capacity)
             .collect();
@@ -314,17 +318,12 @@
                     self.workers[*worker_key].free().cpu_millis,
                 )
             });
-            let may_keep = spare.is_some_and(|spare| spare > 0);
-            if new.is_empty() && may_keep && advice.eligible.is_empty() {
-                new = self.least_committed(job_key, step_index, terms, spec);
-            }
             let rate = self.eligibility_rate(&self.jobs[job_key].submission.queue);
             let mut missing = rate.requested_for_tasks(u64::from(waiting));
             let chosen = new.into_iter().take_while(|worker_key| {
                 let is_needed = missing > 0;
                 let free = self.workers[*worker_key].free();
-                let slots = u64::from(slots_in(&free, &spec.demand));
-                missing = missing.saturating_sub(slots.max(u64::from(only_suspects)));
+                missing = missing.saturating_sub(u64::from(slots_in(&free, &spec.demand)));
                 is_needed
             });
             chosen.collect()
--- a/crates/pimentochute-work/src/cell/place_apart.rs
+++ b/crates/pimentochute-work/src/cell/place_apart.rs
@@ -1,15 +1,13 @@
-//! Places suspected tasks, which have to run apart from other jobs.
+//! Places suspected tasks, which have to start apart from other suspects.
 //!
-//! Where all workers have runs of other jobs, the one with the least committed is kept
-//! for the task until those runs have ended. Only a part of the workers is used in this
-//! way at a time, since each suspect may crash the one that it gets.
+//! A suspect starts on a calm worker: all other runs there have shown that they do no
+//! harm. Only a part of the workers is used in this way at a time, since each suspect may
+//! crash the one that it gets.
 
-use std::cmp::Reverse;
-
-use crate::{JobKey, QueueTerms, StepSpec, WorkerKey};
+use crate::{JobKey, StepSpec, WorkerKey};
 
 use super::WorkCell;
-use super::place::{RoundPlan, StepWorker, matches_step};
+use super::place::{RoundPlan, StepWorker};
 
 impl WorkCell {
     /// Returns the suspected tasks of a step that wait.
@@ -21,8 +19,8 @@
             .collect()
     }
 
-    /// Places suspected tasks of a step that is not a gang on workers without runs of
-    /// other jobs, as far as there are any. Otherwise keeps one for them.
+    /// Places suspected tasks of a step that is not a gang on calm workers, as far as
+    /// there are any.
     pub(super) fn place_suspects(
         &mut self,
         job_key: JobKey,
@@ -40,128 +38,54 @@
             }
             let failed_on = self.jobs[job_key].tasks[*index].failed_on;
             let usable = rows.iter_mut().filter(|row| {
-                let worker = &self.workers[row.worker_key];
-                let is_own = self.is_kept_for(job_key, row.worker_key);
                 row.slots > 0
                     && row.may_start
-                    && worker.is_vacant_for(job_key)
-                    && (is_own || spare > 0)
+                    && (spare > 0 || self.is_apart_for(job_key, row.worker_key))
+                    && self.is_worker_for_suspect(job_key, *index, &self.workers[row.worker_key])
             });
             let best = usable.min_by_key(|row| {
-                let is_own = self.is_kept_for(job_key, row.worker_key);
-                (failed_on == Some(row.worker_key), Reverse(is_own))
+                let is_own = self.is_apart_for(job_key, row.worker_key);
+                let runs = self.workers[row.worker_key].runs.len();
+                (failed_on == Some(row.worker_key), !is_own, runs)
             });
-            let Some(row) = best else {
-                self.keep_worker(job_key, rows, spare);
-                return;
-            };
+            let Some(row) = best else { return };
             row.slots -= 1;
             let worker_key = row.worker_key;
-            if !self.is_kept_for(job_key, worker_key) {
-                spare -= 1;
-            }
-            self.kept_workers.remove(&worker_key);
+            spare -= usize::from(!self.is_apart_for(job_key, worker_key));
             let run = self.jobs[job_key].tasks[*index].run + 1;
             self.place_task_run(job_key, *index, worker_key, run, spec.demand);
         }
     }
 
     /// Returns the workers of a gang with suspected members: those for the suspects, and
-    /// the others. Returns `None`, and keeps workers for the suspects, if there are not
-    /// enough without runs of other jobs.
+    /// the others; `None` if too few are calm.
     pub(super) fn split_gang_workers(
-        &mut self,
+        &self,
         job_key: JobKey,
         suspects: usize,
         rows: &[StepWorker],
     ) -> Option<(Vec<StepWorker>, Vec<StepWorker>)> {
-        let (mut vacant, others): (Vec<_>, Vec<_>) = rows.iter().copied().partition(|row| {
-            row.slots > 0 && row.may_start && {
-                let worker = &self.workers[row.worker_key];
-                worker.is_vacant_for(job_key)
-            }
-        });
-        vacant.sort_by_key(|row| {
-            let is_own = self.is_kept_for(job_key, row.worker_key);
-            (Reverse(is_own), Reverse(row.slots))
-        });
+        let (mut calm, mut rest): (Vec<_>, Vec<_>) = rows
+            .iter()
+            .copied()
+            .partition(|row| self.is_calm_for(job_key, &self.workers[row.worker_key]));
+        calm.sort_by_key(|row| self.workers[row.worker_key].runs.len());
         let spare = self.spare_for_suspects();
         let mut apart: Vec<StepWorker> = Vec::new();
-        let mut rest = others;
-        let (mut slots, mut used) = (0, 0);
-        for row in vacant {
-            let is_own = self.is_kept_for(job_key, row.worker_key);
-            if slots < suspects && (is_own || used < spare) {
+        let mut slots = 0;
+        for row in calm {
+            if slots < suspects && apart.len() < spare {
                 slots += row.slots as usize;
-                used += usize::from(!is_own);
                 apart.push(row);
             } else {
                 rest.push(row);
             }
         }
-        if slots < suspects {
-            self.keep_worker(job_key, rows, spare);
-            return None;
-        }
-        for row in &apart {
-            self.kept_workers.remove(&row.worker_key);
-        }
-        Some((apart, rest))
-    }
-
-    /// Returns whether a worker is kept for a suspected task of a job, or has one.
-    pub(super) fn is_kept_for(&self, job_key: JobKey, worker_key: WorkerKey) -> bool {
-        self.kept_workers.get(&worker_key) == Some(&job_key)
-            || self.workers[worker_key].apart_job == Some(job_key)
-    }
-
-    /// Keeps the worker with the least committed for a suspected task, unless one is
-    /// kept for its job already.
-    fn keep_worker(&mut self, job_key: JobKey, rows: &[StepWorker], spare: usize) {
-        let has_own = self.kept_workers.values().any(|kept| *kept == job_key);
-        if has_own || spare == 0 {
-            return;
-        }
-        let candidates = rows.iter().filter(|row| {
-            let worker = &self.workers[row.worker_key];
-            row.max_slots > 0 && self.takes_runs_of(job_key, row.worker_key, worker)
-        });
-        let best = candidates.min_by_key(|row| self.committed_ppm(row.worker_key));
-        let Some(worker_key) = best.map(|row| row.worker_key) else {
-            return;
-        };
-        self.kept_workers.insert(worker_key, job_key);
-        let worker = &self.workers[worker_key];
-        log::info!(
-            worker:% = worker.report.id,
-            runs = worker.runs.len(),
-            job:% = self.jobs[job_key].code;
-            "cell: a worker is kept for a suspected task"
-        );
+        (slots >= suspects).then_some((apart, rest))
     }
 
-    fn committed_ppm(&self, worker_key: WorkerKey) -> u64 {
-        let worker = &self.workers[worker_key];
-        worker.committed.dominant_share_ppm(&worker.report.capacity)
-    }
-
-    /// Returns the workers that may run a step and about which no advice was received,
-    /// those with the least committed first.
-    pub(super) fn least_committed(
-        &self,
-        job_key: JobKey,
-        step_index: usize,
-        terms: &QueueTerms,
-        spec: &StepSpec,
-    ) -> Vec<WorkerKey> {
-        let answered = &self.jobs[job_key].steps[step_index].advice.answered;
-        let new = self.workers.iter().filter(|(worker_key, worker)| {
-            matches_step(worker, terms, spec)
-                && self.takes_runs_of(job_key, *worker_key, worker)
-                && !answered.contains(worker_key)
-        });
-        let mut new: Vec<_> = new.map(|(worker_key, _)| worker_key).collect();
-        new.sort_by_cached_key(|worker_key| self.committed_ppm(*worker_key));
-        new
+    /// Returns whether a suspected task of a job starts on a worker.
+    fn is_apart_for(&self, job_key: JobKey, worker_key: WorkerKey) -> bool {
+        self.workers[worker_key].apart_job == Some(job_key)
     }
 }
--- a/crates/pimentochute-work/src/cell/place_gang.rs
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -286,7 +286,7 @@
             })
             .enumerate()
             .map(|(index, (worker_key, worker))| {
-                let free = if self.takes_runs_of(job_key, worker_key, worker) {
+                let free = if self.takes_runs_of(job_key, worker) {
                     slots_in(&worker.free(), &spec.demand).min(spec.tasks)
                 } else {
                     0
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -93,7 +93,6 @@
         if is_slow || !self.may_extend_leases() {
             return;
         }
-        self.release_kept_workers();
         let mut plan = RoundPlan {
             max_free: self.max_free(),
             ..RoundPlan::default()
--- a/crates/pimentochute-work/src/crash.rs
+++ b/crates/pimentochute-work/src/crash.rs
@@ -1,6 +1,7 @@
 //! What is known of the workers that were lost under a task.
 
 use pimentochute_base::MilliSpan;
+use strum::IntoStaticStr;
 
 use crate::TaskCrashes;
 
@@ -8,20 +9,21 @@
 /// starting.
 pub(crate) const START_CRASH_WINDOW: MilliSpan = MilliSpan::new(100);
 
-/// With this many crashes, a task is given up if it was alone with its job on the last
-/// worker and had just started there.
+/// With this many crashes, a task is given up if its job was the only suspect on the
+/// last worker and it had just started there.
 const MAX_START_CRASHES: u32 = 2;
 
-/// With this many crashes, a task is given up if it was alone with its job on the last
-/// worker.
+/// With this many crashes, a task is given up if its job was the only suspect on the
+/// last worker.
 const MAX_CRASHES: u32 = 3;
 
 /// A task is given up after this many losses, whether or not they are known to be
-/// crashes, of which [`MAX_LONE_LOSSES`] hit a worker on which its job was alone.
+/// crashes, of which [`MAX_SOLE_LOSSES`] hit a worker on which its job was the only
+/// suspect.
 const MAX_LOSSES: u32 = 4;
 
 /// See [`MAX_LOSSES`].
-const MAX_LONE_LOSSES: u32 = 2;
+const MAX_SOLE_LOSSES: u32 = 2;
 
 /// From this number of crashes on, a task is suspected even if it had been running for
 /// a while when its workers crashed.
@@ -33,18 +35,18 @@
 /// The workers that were lost under a task, and what follows from it.
 ///
 /// A crash ends all runs of a worker, and nothing tells which of them caused it. So a
-/// suspect runs apart from other jobs until it has shown that it does no harm, and only
-/// a crash in that time counts against it alone.
+/// suspect starts where all other runs have shown that they do no harm, and nothing else
+/// starts beside it until it has shown the same. A crash in that time is its own.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct CrashHistory {
     /// The workers that were lost: they crashed or could not be reached until their
     /// lease had expired.
     pub(crate) losses: u32,
-    /// The losses that are known to be crashes; at most `losses`.
+    /// The losses that are known to be crashes after the start; at most `losses`.
     pub(crate) crashes: u32,
-    /// The losses of a worker on which no other job had a run; at most `losses`.
-    pub(crate) lone_losses: u32,
-    /// The task has to run apart from other jobs.
+    /// The losses of a worker on which no other job was suspect; at most `losses`.
+    pub(crate) sole_losses: u32,
+    /// The task has to start apart from other suspects.
     pub(crate) is_suspect: bool,
 }
 
@@ -53,18 +55,31 @@
 pub(crate) struct RunLoss {
     /// The worker is known to have crashed.
     pub(crate) is_crash: bool,
-    /// No other job had a run on the worker.
-    pub(crate) is_lone: bool,
+    /// No run of another job on the worker was recent or had lost a worker before.
+    pub(crate) is_sole: bool,
+    pub(crate) start: StartStatus,
+}
+
+/// How far the start of a run had come when its worker was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum StartStatus {
+    /// An earlier owner has placed the run, and its worker has not answered since.
+    Inherited,
+    /// The worker has not answered the start.
+    Unanswered,
     /// The run had started within [`START_CRASH_WINDOW`] before the last answer of the
     /// worker, or later.
-    pub(crate) is_recent: bool,
+    Recent,
+    /// The worker has answered for longer than that after the start.
+    Settled,
 }
 
 impl CrashHistory {
     /// Adds a loss. Returns whether the task has to be given up.
     pub(crate) fn add_loss(&mut self, loss: RunLoss) -> bool {
         self.losses += 1;
-        self.lone_losses += u32::from(loss.is_lone);
+        self.sole_losses += u32::from(loss.is_sole);
         self.add_evidence(loss)
     }
 
@@ -77,22 +92,28 @@
     /// Removes a loss, since the worker had only been out of reach.
     pub(crate) fn remove_loss(&mut self, loss: RunLoss) {
         self.losses = self.losses.saturating_sub(1);
-        self.lone_losses = self.lone_losses.saturating_sub(u32::from(loss.is_lone));
+        self.sole_losses = self.sole_losses.saturating_sub(u32::from(loss.is_sole));
         self.is_suspect &= self.losses > 0;
     }
 
     fn add_evidence(&mut self, loss: RunLoss) -> bool {
-        self.crashes += u32::from(loss.is_crash);
-        self.is_suspect |= loss.is_crash && loss.is_recent
+        let (has_started, is_settled) = match loss.start {
+            StartStatus::Inherited => (false, true),
+            StartStatus::Unanswered => (false, false),
+            StartStatus::Recent => (true, false),
+            StartStatus::Settled => (true, true),
+        };
+        self.crashes += u32::from(loss.is_crash && has_started);
+        self.is_suspect |= loss.is_crash && !is_settled
             || self.crashes >= SUSPECT_CRASHES
             || self.losses >= SUSPECT_LOSSES;
-        let limit = if loss.is_recent {
-            MAX_START_CRASHES
-        } else {
+        let limit = if is_settled {
             MAX_CRASHES
+        } else {
+            MAX_START_CRASHES
         };
-        loss.is_crash && loss.is_lone && self.crashes >= limit
-            || self.losses >= MAX_LOSSES && self.lone_losses >= MAX_LONE_LOSSES
+        loss.is_crash && has_started && loss.is_sole && self.crashes >= limit
+            || self.losses >= MAX_LOSSES && self.sole_losses >= MAX_SOLE_LOSSES
     }
 
     /// Returns whether a suspect may run beside other jobs after `answered` since its
@@ -108,7 +129,7 @@
             task: u32::try_from(index).unwrap_or(u32::MAX),
             losses: self.losses,
             crashes: self.crashes,
-            lone_losses: self.lone_losses,
+            sole_losses: self.sole_losses,
             is_suspect: self.is_suspect,
         })
     }
@@ -119,7 +140,7 @@
         Self {
             losses: record.losses,
             crashes: record.crashes,
-            lone_losses: record.lone_losses,
+            sole_losses: record.sole_losses,
             is_suspect: record.is_suspect,
         }
     }
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -90,6 +90,8 @@
     pub(crate) checkpoint: String,
     /// The workers that were lost under the task.
     pub(crate) crashes: CrashHistory,
+    /// When the last of them was lost, or restored from the log, on the cell's clock.
+    pub(crate) lost_at: MilliTime,
     /// The worker of the last failed run, which is chosen last.
     pub(crate) failed_on: Option<WorkerKey>,
 }
@@ -115,8 +117,7 @@
     Tickets,
     /// The eligible workers have not enough free resources.
     Resources,
-    /// Members are suspected of crashing their workers, and no worker is without runs of
-    /// other jobs.
+    /// Members are suspected of crashing their workers, and too few workers are calm.
     Suspects,
 }
 
@@ -150,7 +151,7 @@
 }
 
 impl TaskState {
-    /// Returns whether the task waits and has to run apart from other jobs.
+    /// Returns whether the task waits and has to start apart from other suspects.
     pub(crate) fn is_waiting_suspect(&self) -> bool {
         self.crashes.is_suspect && self.placement == TaskPlacement::Waiting
     }
@@ -297,12 +298,6 @@
         self.end.is_none() && self.steps.iter().any(|step| step.waiting > 0)
     }
 
-    /// Returns whether a task waits that has to run apart from other jobs.
-    pub(crate) fn has_waiting_suspect(&self) -> bool {
-        let mut tasks = self.tasks.iter();
-        tasks.any(TaskState::is_waiting_suspect)
-    }
-
     /// Returns the record of the losses of workers under the tasks.
     pub(crate) fn crashes(&self) -> JobCrashes {
         let tasks = self.tasks.iter().enumerate();
--- a/crates/pimentochute-work/src/record.rs
+++ b/crates/pimentochute-work/src/record.rs
@@ -84,11 +84,11 @@
     pub task: u32,
     /// The workers that were lost.
     pub losses: u32,
-    /// Those of them that are known to have crashed.
+    /// Those of them that are known to have crashed after they had started the task.
     pub crashes: u32,
-    /// Those of them on which no other job had a run.
-    pub lone_losses: u32,
-    /// The task has to run apart from other jobs.
+    /// Those of them on which no other job was suspect.
+    pub sole_losses: u32,
+    /// The task has to start apart from other suspects.
     pub is_suspect: bool,
 }
 
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -4,8 +4,13 @@
 
 use pimentochute_base::{MilliSpan, MilliTime, ResourceAmount};
 
+use crate::crash::{START_CRASH_WINDOW, StartStatus};
 use crate::{JobKey, LeasePolicy};
 
+/// Stands for the token of a start that an earlier owner may have sent; it is below all
+/// others.
+const INHERITED_TOKEN: u64 = 0;
+
 /// The state of a worker, as the owner knows it.
 #[derive(Debug)]
 pub(crate) struct WorkerState {
@@ -21,8 +26,8 @@
     /// their demands is `committed`.
     pub(crate) runs: BTreeMap<(JobKey, usize), PlacedRun>,
     pub(crate) committed: ResourceAmount,
-    /// The job of a run that has to be apart from other jobs; no other job gets runs
-    /// here meanwhile.
+    /// The job of a suspected task that starts here; no other job gets runs here
+    /// meanwhile.
     pub(crate) apart_job: Option<JobKey>,
     /// The highest number of an end that was applied.
     pub(crate) applied_end: u64,
@@ -161,8 +166,7 @@
     pub(crate) percent: u32,
     /// When `percent` last changed, on the cell's clock.
     pub(crate) percent_at: MilliTime,
-    /// The task is suspected of crashing its workers, so that other jobs have no runs
-    /// beside it.
+    /// The task is suspected of crashing its workers, so that nothing starts beside it.
     pub(crate) is_apart: bool,
 }
 
@@ -290,9 +294,14 @@
         Some(run)
     }
 
-    /// Returns whether no other job than this one has runs here.
-    pub(crate) fn is_vacant_for(&self, job: JobKey) -> bool {
-        self.runs.keys().all(|(holder, _)| *holder == job)
+    /// Returns how far the start of a run has come, as far as the worker has answered.
+    pub(crate) fn start_status(&self, run: &PlacedRun) -> StartStatus {
+        match run.acknowledged_at {
+            None if run.order_token == Some(INHERITED_TOKEN) => StartStatus::Inherited,
+            None => StartStatus::Unanswered,
+            Some(at) if self.last_answer_at.since(at) < START_CRASH_WINDOW => StartStatus::Recent,
+            Some(_) => StartStatus::Settled,
+        }
     }
 
     /// Updates `apart_job` after a change of the runs.
@@ -378,7 +387,7 @@
     /// Creates a run that a previous owner may have started.
     pub(crate) const fn restored(number: u32, demand: ResourceAmount, now: MilliTime) -> Self {
         let mut placed = Self::new(number, demand, now);
-        placed.order_token = Some(0);
+        placed.order_token = Some(INHERITED_TOKEN);
         placed
     }
 }
