--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -396,3 +396,122 @@
         simulation.run(10, owner_ticks);
     }
 }
+
+/// Replaces a worker by one that started later at its address.
+fn replace_worker(test: &mut TestCell, index: usize, id: &str) {
+    let mut successor = report(index, WORKER_CPU);
+    id.clone_into(&mut successor.id);
+    successor.started_at = test.now;
+    successor.clock = test.now;
+    test.cell.worker_reported(successor);
+    test.step(100);
+}
+
+/// Answers the polls of workers that run nothing.
+fn answer_idle_polls(test: &mut TestCell) {
+    for poll in test.run_due_work().polls {
+        test.answer_poll(&poll, WorkerListing::default());
+    }
+}
+
+/// Guards against a wait for the end of the lease although another worker has taken the
+/// place of a crashed one.
+#[test]
+fn the_runs_of_a_replaced_worker_wait_again_at_once() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, WORKER_CPU);
+    test.submit(1, PLAIN, job(1, 1_000));
+    test.run_due_work();
+    let starts = test.record().starts;
+    test.answer_starts(&starts);
+    test.step(3_000);
+    replace_worker(&mut test, 0, "successor");
+    answer_idle_polls(&mut test);
+    test.run_due_work();
+    let starts = test.record().starts;
+    assert_eq!(starts.len(), 1, "the task starts on the successor");
+    assert_eq!(starts[0].target.id, "successor");
+    assert_eq!(starts[0].run, 2);
+}
+
+/// Guards against an old report, read after that of the successor, that would make a
+/// crashed worker look alive.
+#[test]
+fn an_old_report_does_not_bring_a_replaced_worker_back() {
+    let mut test = TestCell::new(1);
+    let old = report(0, WORKER_CPU);
+    replace_worker(&mut test, 0, "successor");
+    test.cell.worker_reported(old.clone());
+    answer_idle_polls(&mut test);
+    test.cell.worker_reported(old);
+    answer_idle_polls(&mut test);
+    test.submit(1, PLAIN, job(2, 4_500));
+    test.run_due_work();
+    let starts = test.record().starts;
+    assert_eq!(starts.len(), 1, "only the successor takes runs");
+    assert_eq!(starts[0].target.id, "successor");
+}
+
+/// Guards against a job that is shown as failed after one crash, since a start that its
+/// worker never answered was taken for another.
+#[test]
+fn a_start_that_was_not_answered_is_no_crash_of_its_task() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, WORKER_CPU);
+    test.submit(1, PLAIN, job(1, 1_000));
+    let code = JobCode::new(1);
+    for (round, is_answered) in [false, true, true].into_iter().enumerate() {
+        assert_ne!(test.cell.state(code), Some(JobStatus::Failed));
+        test.run_due_work();
+        let starts = test.record().starts;
+        assert_eq!(starts.len(), 1, "start {round}");
+        if is_answered {
+            test.answer_starts(&starts);
+        } else {
+            let lost = Err(OrderError::OutcomeUnknown);
+            test.cell.start_answered(&starts[0], lost);
+        }
+        test.step(3_000);
+        replace_worker(&mut test, 0, &format!("successor-{round}"));
+        answer_idle_polls(&mut test);
+    }
+    test.run_due_work();
+    test.record();
+    assert_eq!(
+        test.cell.state(code),
+        Some(JobStatus::Failed),
+        "two crashes"
+    );
+}
+
+/// Guards against sound tasks that are suspected, and then given up, because they were
+/// out of reach behind a network partition.
+#[test]
+fn a_worker_that_answers_again_has_not_crashed() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, WORKER_CPU);
+    test.submit(1, PLAIN, job(1, 1_000));
+    let code = JobCode::new(1);
+    for _ in 0..6 {
+        test.run_due_work();
+        let starts = test.record().starts;
+        assert_eq!(starts.len(), 1);
+        test.answer_starts(&starts);
+        for _ in 0..90 {
+            test.step(100);
+            for poll in test.run_due_work().polls {
+                if poll.target.id == starts[0].target.id {
+                    let lost = Err(OrderError::OutcomeUnknown);
+                    test.cell.poll_answered(&poll, lost);
+                } else {
+                    test.answer_poll(&poll, WorkerListing::default());
+                }
+            }
+        }
+        // The worker is back; its lease had ended the run.
+        test.step(400);
+        answer_idle_polls(&mut test);
+        test.step(400);
+    }
+    assert_ne!(test.cell.state(code), Some(JobStatus::Failed));
+}
