Do not give up a job for a crash that is proved after its task succeeded

What callers could see: a job shown as failed although its task was done, after two losses that were out of reach first and proved to be crashes later. Cause: the proof was applied without a look at the task. Found by reading; the test fails without the guard (Failed instead of Running).

--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -104,7 +104,9 @@
             suspect = history.is_suspect;
             "cell: a task lost its worker"
         );
-        if is_guilty && job.end.is_none() {
+        // The proof of a crash may come after the task has succeeded elsewhere.
+        let is_done = job.tasks[run.index].placement == TaskPlacement::Done;
+        if is_guilty && !is_done && job.end.is_none() {
             log::warn!(
                 job:% = job.code,
                 task:% = job.name_of(run.index),
--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -515,3 +515,60 @@
     }
     assert_ne!(test.cell.state(code), Some(JobStatus::Failed));
 }
+
+/// Guards against a job that is given up for a crash that is proved only after its task
+/// has succeeded on another worker.
+#[test]
+fn a_late_proof_does_not_fail_a_job_whose_task_has_succeeded() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, WORKER_CPU);
+    let mut spec = job(1, 1_000);
+    let mut second = work_support::step(1, 60_000);
+    second.after = [0].into_iter().collect();
+    spec.steps.push(second);
+    test.submit(1, PLAIN, spec);
+    let code = JobCode::new(1);
+    // Two workers are lost without a proof, one after the other.
+    test.run_due_work();
+    let mut starts = test.record().starts;
+    for index in 0..2 {
+        assert_eq!(starts.len(), 1, "start {index}");
+        test.answer_starts(&starts);
+        let lost = starts[0].target.id.clone();
+        let mut other = report(index + 10, WORKER_CPU);
+        other.clock = test.now;
+        test.cell.worker_reported(other);
+        starts.clear();
+        while starts.is_empty() {
+            test.step(100);
+            for poll in test.run_due_work().polls {
+                if poll.target.id == lost {
+                    let lost = Err(OrderError::OutcomeUnknown);
+                    test.cell.poll_answered(&poll, lost);
+                } else {
+                    test.answer_poll(&poll, WorkerListing::default());
+                }
+            }
+            starts = test.record().starts;
+        }
+        test.cell.worker_unlisted(&lost);
+    }
+    // The third run succeeds, and only then do the successors of the lost workers appear.
+    test.answer_starts(&starts);
+    test.step(1_000);
+    for poll in test.run_due_work().polls {
+        let mut listing = WorkerListing::default();
+        if poll.target.id == starts[0].target.id {
+            listing
+                .ended
+                .push(work_support::ended(&starts[0], 1, RunEnd::Done));
+        }
+        test.answer_poll(&poll, listing);
+    }
+    for index in 0..2 {
+        replace_worker(&mut test, index, &format!("successor-{index}"));
+    }
+    test.run_due_work();
+    test.record();
+    assert_eq!(test.cell.state(code), Some(JobStatus::Running));
+}
