--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,348 @@
+//! The scripts. Each one starts a small deployment, causes one disruption and checks one
+//! rule by what the workers and the callers saw.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::Outcome;
+use crate::cell::{Cell, HandIn, Team, loopback, one_step};
+use crate::host::free_port;
+use crate::proxy::Proxy;
+use crate::record::Record;
+use crate::worker::{ENTRY_LIFETIME, Worker};
+
+/// The processor of a worker, in thousandths of a core (`sites/cbs-chute.toml`).
+const WORKER_CPU: u64 = 64_000;
+
+/// How long after the end of the traffic the jobs are judged (`bounds.finish_s`).
+const FINISH: Duration = Duration::from_secs(14);
+
+/// A job that can run has to have something running within this time.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+
+const ALFA: Team = Team {
+    name: "alfa",
+    key: "alfa-key-0001",
+    cap_cpu: 1_678_000,
+};
+const BETA: Team = Team {
+    name: "beta",
+    key: "beta-key-0001",
+    cap_cpu: 1_678_000,
+};
+
+fn text_of(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
+
+fn job_id(kind: u16, number: usize) -> String {
+    format!("{kind:04x}5c0e{number:08x}")
+}
+
+fn wait_until(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() > deadline {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    true
+}
+
+/// Returns the accepted jobs that had nothing running for `IDLE_LIMIT` although no task
+/// of them is done.
+fn idle_jobs<'a>(cell: &Cell, jobs: &'a [HandIn]) -> Vec<&'a HandIn> {
+    let is_idle = |job: &HandIn| {
+        let starts = cell.starts_of(&job.id);
+        starts
+            .iter()
+            .all(|start| start.how != "done" && start.ended_s.is_some())
+    };
+    let deadline = Instant::now() + IDLE_LIMIT;
+    let mut idle: Vec<_> = jobs
+        .iter()
+        .filter(|job| job.is_accepted && is_idle(job))
+        .collect();
+    while Instant::now() < deadline {
+        idle.retain(|job| is_idle(job));
+        thread::sleep(Duration::from_millis(10));
+    }
+    idle
+}
+
+/// Writes the jobs that broke the rule LOST to the record.
+fn judge_idle(cell: &Cell, jobs: &[HandIn]) -> Outcome {
+    let accepted = jobs.iter().filter(|job| job.is_accepted).count();
+    let idle = idle_jobs(cell, jobs);
+    for job in &idle {
+        let state = cell.state(job).unwrap_or_else(|| "no answer".to_owned());
+        cell.record.line(&format!(
+            "LOST: job {} was accepted, has nothing running for {} s with most workers free; \
+             starts: {}, state: {state}",
+            job.id,
+            IDLE_LIMIT.as_secs(),
+            cell.starts_of(&job.id).len()
+        ));
+    }
+    let line = format!("{} of {accepted} accepted jobs do not run", idle.len());
+    cell.record.line(&line);
+    println!("{line}");
+    if idle.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    }
+}
+
+/// Writes the tasks that broke the rule TWICE to the record.
+fn judge_doubled(cell: &Cell) -> Outcome {
+    let doubled = cell.doubled_tasks();
+    for text in &doubled {
+        cell.record.line(&format!("TWICE: {text}"));
+    }
+    let line = format!("{} starts of tasks break the rule", doubled.len());
+    cell.record.line(&line);
+    println!("{line}");
+    if doubled.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    }
+}
+
+/// One accepted job with many tasks, whose record outgrows the largest record of the
+/// store.
+pub fn large_job(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const WORKERS: usize = 48;
+    const TASKS: usize = 20_000;
+    const PARTS: usize = 20;
+    const TASK_TIME: Duration = Duration::from_secs(6);
+    const LATER: Duration = Duration::from_secs(40);
+    let mut cell = Cell::new(Arc::clone(record), &[ALFA, BETA]).map_err(text_of)?;
+    for number in 0..WORKERS {
+        let profile = cell.profile(number, WORKER_CPU, TASK_TIME);
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    cell.start_hosts(3)?;
+    let mut jobs = Vec::new();
+    for number in 0..5 {
+        jobs.push(cell.hand_in(BETA.key, &job_id(1, number), &one_step(2, 1_000, 2_000, "")));
+    }
+    // The same work as one job, or in parts.
+    let parts = if has_trouble { 1 } else { PARTS };
+    for number in 0..parts {
+        let body = one_step(TASKS / parts, 75, 6_200, "");
+        jobs.push(cell.hand_in(ALFA.key, &job_id(2, number), &body));
+    }
+    thread::sleep(Duration::from_secs(3));
+    for number in 0..10 {
+        jobs.push(cell.hand_in(BETA.key, &job_id(3, number), &one_step(2, 1_000, 2_000, "")));
+        thread::sleep(Duration::from_millis(200));
+    }
+    record.line("the traffic ends");
+    thread::sleep(FINISH);
+    let outcome = judge_idle(&cell, &jobs);
+    if let Outcome::Broken = outcome {
+        // The judgement stands; this shows whether the cell recovers.
+        thread::sleep(LATER);
+        let started = jobs
+            .iter()
+            .filter(|job| !cell.starts_of(&job.id).is_empty())
+            .count();
+        let (later, all) = (LATER.as_secs(), jobs.len());
+        record.line(&format!(
+            "{later} s later, {started} of {all} jobs have started"
+        ));
+    }
+    record.line(&format!(
+        "appends refused by their size: {}",
+        cell.store.too_large()
+    ));
+    cell.finish();
+    Ok(outcome)
+}
+
+/// The answer of a worker to a poll arrives after the report of its next life.
+pub fn late_answer(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const TASK_TIME: Duration = Duration::from_millis(800);
+    const DELAY: Duration = Duration::from_millis(600);
+    const DOWN: Duration = Duration::from_millis(100);
+    let mut cell = Cell::new(Arc::clone(record), &[ALFA]).map_err(text_of)?;
+    let mut profile = cell.profile(0, WORKER_CPU, TASK_TIME);
+    profile.reported = free_port(loopback(90));
+    let proxy = Proxy::start(profile.reported, profile.address, record).map_err(text_of)?;
+    let worker = cell.add_worker(profile).map_err(text_of)?;
+    cell.start_hosts(3)?;
+    for number in 0..8 {
+        cell.hand_in(ALFA.key, &job_id(1, number), &one_step(2, 1_000, 800, ""));
+    }
+    if !wait_until(Duration::from_secs(10), || {
+        worker.ends() >= 16 && worker.running() == 0
+    }) {
+        return Err("the first jobs do not end".to_owned());
+    }
+    thread::sleep(Duration::from_secs(1));
+    if has_trouble {
+        proxy.set_delay(Some("\"ended\":[["), DELAY);
+    }
+    cell.hand_in(ALFA.key, &job_id(2, 0), &one_step(1, 1_000, 800, ""));
+    if has_trouble {
+        if !wait_until(Duration::from_secs(5), || proxy.delayed() > 0) {
+            return Err("no answer with an end was delayed".to_owned());
+        }
+        proxy.set_delay(None, Duration::ZERO);
+        worker.crash();
+        thread::sleep(DOWN);
+        worker.restart(&worker.id()).map_err(text_of)?;
+        thread::sleep(DELAY);
+    } else {
+        thread::sleep(Duration::from_secs(1));
+    }
+    thread::sleep(Duration::from_secs(1));
+    for number in 0..8 {
+        cell.hand_in(ALFA.key, &job_id(3, number), &one_step(2, 1_000, 800, ""));
+    }
+    thread::sleep(Duration::from_secs(8));
+    let outcome = judge_doubled(&cell);
+    cell.finish();
+    Ok(outcome)
+}
+
+/// A draining worker is cut off, and the owner is killed before the entry of the worker
+/// expires.
+pub fn drained_worker(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const TASK_TIME: Duration = Duration::from_secs(14);
+    /// The time from the last report of the worker to the death of the owner.
+    const KILL_AFTER: Duration = Duration::from_millis(1_800);
+    const CUT_TIME: Duration = Duration::from_millis(5_500);
+    let mut cell = Cell::new(Arc::clone(record), &[ALFA]).map_err(text_of)?;
+    let profile = cell.profile(0, WORKER_CPU, TASK_TIME);
+    let worker = cell.add_worker(profile).map_err(text_of)?;
+    cell.start_hosts(3)?;
+    cell.hand_in(ALFA.key, &job_id(1, 0), &one_step(6, 1_000, 14_000, ""));
+    if !wait_until(Duration::from_secs(5), || worker.running() == 6) {
+        return Err("the job does not start".to_owned());
+    }
+    for number in 1..4 {
+        let profile = cell.profile(number, WORKER_CPU, TASK_TIME);
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    thread::sleep(Duration::from_secs(1));
+    worker.drain();
+    let drained = Instant::now();
+    if has_trouble {
+        thread::sleep(Duration::from_millis(300));
+        worker.set_cut(true);
+        let cut = Instant::now();
+        thread::sleep(KILL_AFTER.saturating_sub(drained.elapsed()));
+        let owner = cell.owner().ok_or("no host owns the cell")?;
+        owner.kill_for(Duration::from_secs(1)).map_err(text_of)?;
+        thread::sleep(CUT_TIME.saturating_sub(cut.elapsed()));
+        worker.set_cut(false);
+    }
+    thread::sleep((ENTRY_LIFETIME * 3).saturating_sub(drained.elapsed()));
+    let outcome = judge_doubled(&cell);
+    cell.finish();
+    Ok(outcome)
+}
+
+/// A gang that no worker can run holds the cap of its team.
+pub fn hopeless_gang(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const WORKERS: usize = 12;
+    const CPU: u64 = 16_000;
+    const TEAM: Team = Team {
+        name: "alfa",
+        key: "alfa-key-0001",
+        cap_cpu: 200_000,
+    };
+    let mut cell = Cell::new(Arc::clone(record), &[TEAM]).map_err(text_of)?;
+    for number in 0..WORKERS {
+        let profile = cell.profile(number, CPU, Duration::from_secs(2));
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    cell.start_hosts(3)?;
+    if has_trouble {
+        // Each task needs more than any worker has, the gang less than the cap.
+        let body = one_step(8, 24_000, 6_200, ",\"gang\":true");
+        cell.hand_in(TEAM.key, &job_id(1, 0), &body);
+    }
+    let mut jobs = Vec::new();
+    for number in 0..19 {
+        jobs.push(cell.hand_in(
+            TEAM.key,
+            &job_id(2, number),
+            &one_step(1, 10_000, 2_000, ""),
+        ));
+        thread::sleep(Duration::from_millis(80));
+    }
+    record.line("the traffic ends");
+    thread::sleep(FINISH);
+    let outcome = judge_idle(&cell, &jobs);
+    cell.finish();
+    Ok(outcome)
+}
+
+/// Workers crash before a start reaches them, four times the one that a job was placed
+/// on.
+pub fn crashed_workers(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const WORKERS: usize = 7;
+    const CRASHES: usize = 4;
+    const DOWN: Duration = Duration::from_secs(2);
+    let mut cell = Cell::new(Arc::clone(record), &[ALFA]).map_err(text_of)?;
+    for number in 0..WORKERS {
+        let profile = cell.profile(number, WORKER_CPU, Duration::from_secs(2));
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    cell.start_hosts(3)?;
+    let arm = |cell: &Cell| {
+        cell.workers
+            .iter()
+            .for_each(|worker| worker.crash_at_next_start())
+    };
+    let gone = |cell: &Cell| -> Option<Arc<Worker>> {
+        cell.workers.iter().find(|worker| worker.is_gone()).cloned()
+    };
+    if has_trouble {
+        arm(&cell);
+    }
+    let job = cell.hand_in(ALFA.key, &job_id(1, 0), &one_step(1, 1_000, 2_000, ""));
+    if has_trouble {
+        for crash in 0..CRASHES {
+            if !wait_until(Duration::from_secs(20), || gone(&cell).is_some()) {
+                record.line("the job is not started again");
+                break;
+            }
+            for worker in &cell.workers {
+                worker.disarm();
+            }
+            let worker = gone(&cell).ok_or("no worker has crashed")?;
+            worker.close();
+            thread::sleep(DOWN);
+            worker
+                .restart(&format!("i-{:010x}", 0x77_0000 + crash))
+                .map_err(text_of)?;
+            if crash + 1 < CRASHES {
+                arm(&cell);
+            }
+        }
+    }
+    thread::sleep(Duration::from_secs(6));
+    let state = cell.state(&job).unwrap_or_else(|| "no answer".to_owned());
+    let starts = cell.starts_of(&job.id);
+    let line = format!(
+        "job {} is shown as {state}; runs that began: {}",
+        job.id,
+        starts.len()
+    );
+    record.line(&line);
+    println!("{line}");
+    cell.finish();
+    // Only ends `failed` count as attempts, and no stand-in lists one.
+    Ok(if job.is_accepted && state == "failed" {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
+}
