--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -8,7 +8,7 @@
 use crate::Outcome;
 use crate::cell::{Cell, HandIn, Team, loopback, one_step};
 use crate::host::free_port;
-use crate::proxy::Proxy;
+use crate::proxy::{LinkProxy, Proxy};
 use crate::record::Record;
 use crate::worker::{ENTRY_LIFETIME, Worker};
 
@@ -248,6 +248,112 @@
     Ok(outcome)
 }
 
+/// The large hosts lose power, and a host with a narrow link becomes the owner.
+pub fn narrow_link(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    /// The links of the small hosts: 10 Mbit/s, of which headers take 6 %.
+    const LINK_BYTES_PER_S: u32 = 1_175_000;
+    /// The processor of the small hosts, in cores.
+    const SMALL_SHARE: f64 = 0.12;
+    const LARGE_HOSTS: usize = 4;
+    const SMALL_HOSTS: usize = 2;
+    const OFF_TIME: Duration = Duration::from_millis(9_500);
+    const CALLERS: usize = 8;
+    const JOBS_BEFORE: usize = 400;
+    const TRAFFIC_TIME: Duration = Duration::from_secs(24);
+    const PAUSE: Duration = Duration::from_millis(250);
+    const ASKED: usize = 8;
+    let mut cell = Cell::new(Arc::clone(record), &[ALFA]).map_err(text_of)?;
+    for number in 0..4 {
+        let profile = cell.profile(number, 16_000, Duration::from_secs(4));
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    for number in 0..LARGE_HOSTS {
+        cell.start_host(number, 0.5, cell.store_address)?;
+    }
+    cell.wait_ready()?;
+    for number in LARGE_HOSTS..LARGE_HOSTS + SMALL_HOSTS {
+        let link = free_port(loopback(60 + number as u8));
+        LinkProxy::start(link, cell.store_address, LINK_BYTES_PER_S).map_err(text_of)?;
+        cell.start_host(number, SMALL_SHARE, link)?;
+        cell.hosts[number].limit_share(SMALL_SHARE);
+    }
+    cell.wait_ready()?;
+    // The longest text that a job may have.
+    let body =
+        one_step(1, 4_000, 4_000, "").replace("\"order\"", &format!("\"{}\"", "x".repeat(4_000)));
+    let (cell, body) = (&cell, &body);
+    let hand_in_all = |kind: u16, count: usize, pause: Duration, limit: Duration| {
+        let started = Instant::now();
+        thread::scope(|scope| {
+            let callers = (0..CALLERS).map(|caller| {
+                scope.spawn(move || {
+                    let mut jobs = Vec::new();
+                    for number in (caller..count).step_by(CALLERS) {
+                        if started.elapsed() > limit {
+                            break;
+                        }
+                        jobs.push(cell.hand_in(ALFA.key, &job_id(kind, number), body));
+                        thread::sleep(pause);
+                    }
+                    jobs
+                })
+            });
+            let callers: Vec<_> = callers.collect();
+            callers
+                .into_iter()
+                .flat_map(|caller| caller.join().unwrap())
+                .collect::<Vec<_>>()
+        })
+    };
+    let mut jobs = hand_in_all(1, JOBS_BEFORE, Duration::ZERO, TRAFFIC_TIME);
+    record.line("the jobs before the disruption are handed in");
+    let later = thread::scope(|scope| {
+        let traffic = scope.spawn(|| hand_in_all(2, usize::MAX / 2, PAUSE, TRAFFIC_TIME));
+        thread::sleep(Duration::from_secs(2));
+        if has_trouble {
+            let large = &cell.hosts[..LARGE_HOSTS];
+            record.line("the large hosts lose power");
+            large.iter().for_each(|host| host.end());
+            thread::sleep(OFF_TIME);
+            for host in large {
+                host.run().map_err(text_of)?;
+            }
+        }
+        traffic.join().map_err(|_| "a caller failed".to_owned())
+    })?;
+    jobs.extend(later);
+    record.line("the traffic ends");
+    thread::sleep(FINISH);
+    let accepted: Vec<_> = jobs.iter().filter(|job| job.is_accepted).collect();
+    // An answer has to come within the timeout of a call.
+    let asked: Vec<_> = accepted
+        .iter()
+        .step_by(accepted.len().div_ceil(ASKED).max(1))
+        .collect();
+    let mut unanswered = 0;
+    for job in &asked {
+        if cell.state(job).is_none() {
+            unanswered += 1;
+            record.line(&format!(
+                "LOST: no answer about job {}, which was accepted",
+                job.id
+            ));
+        }
+    }
+    let line = format!(
+        "{unanswered} of {} accepted jobs that were asked for get no answer",
+        asked.len()
+    );
+    record.line(&line);
+    println!("{line}");
+    cell.finish();
+    Ok(if unanswered == 0 {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
+}
+
 /// A gang that no worker can run holds the cap of its team.
 pub fn hopeless_gang(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
     const WORKERS: usize = 12;
@@ -284,63 +390,62 @@
     Ok(outcome)
 }
 
-/// Workers crash before a start reaches them, four times the one that a job was placed
-/// on.
-pub fn crashed_workers(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
-    const WORKERS: usize = 7;
-    const CRASHES: usize = 4;
-    const DOWN: Duration = Duration::from_secs(2);
+/// The worker of a long-running task crashes three times in a row.
+pub fn crashed_service(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const WORKERS: usize = 8;
+    const CRASHES: usize = 3;
+    const DOWN: Duration = Duration::from_millis(4_500);
+    /// How long the task works before its worker crashes.
+    const CALM: Duration = Duration::from_secs(5);
+    /// A task that lasts has to run again after this time (rule LOST).
+    const RESTART_LIMIT: Duration = Duration::from_secs(10);
     let mut cell = Cell::new(Arc::clone(record), &[ALFA]).map_err(text_of)?;
     for number in 0..WORKERS {
-        let profile = cell.profile(number, WORKER_CPU, Duration::from_secs(2));
+        let profile = cell.profile(number, WORKER_CPU, Duration::from_secs(3_600));
         cell.add_worker(profile).map_err(text_of)?;
     }
     cell.start_hosts(3)?;
-    let arm = |cell: &Cell| {
+    let body = one_step(1, 1_000, 2_000, ",\"long-running\":true");
+    let job = cell.hand_in(ALFA.key, &job_id(1, 0), &body);
+    let host_of = |cell: &Cell| -> Option<Arc<Worker>> {
         cell.workers
             .iter()
-            .for_each(|worker| worker.crash_at_next_start())
-    };
-    let gone = |cell: &Cell| -> Option<Arc<Worker>> {
-        cell.workers.iter().find(|worker| worker.is_gone()).cloned()
+            .find(|worker| worker.running() > 0)
+            .cloned()
     };
-    if has_trouble {
-        arm(&cell);
+    if !wait_until(Duration::from_secs(10), || host_of(&cell).is_some()) {
+        return Err("the task does not start".to_owned());
     }
-    let job = cell.hand_in(ALFA.key, &job_id(1, 0), &one_step(1, 1_000, 2_000, ""));
-    if has_trouble {
-        for crash in 0..CRASHES {
-            if !wait_until(Duration::from_secs(20), || gone(&cell).is_some()) {
-                record.line("the job is not started again");
-                break;
-            }
-            for worker in &cell.workers {
-                worker.disarm();
-            }
-            let worker = gone(&cell).ok_or("no worker has crashed")?;
-            worker.close();
+    for crash in 0..CRASHES {
+        thread::sleep(CALM);
+        if has_trouble {
+            let worker = host_of(&cell).ok_or("the task does not run")?;
+            worker.crash();
             thread::sleep(DOWN);
             worker
                 .restart(&format!("i-{:010x}", 0x77_0000 + crash))
                 .map_err(text_of)?;
-            if crash + 1 < CRASHES {
-                arm(&cell);
-            }
+            wait_until(RESTART_LIMIT, || host_of(&cell).is_some());
         }
     }
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(RESTART_LIMIT);
     let state = cell.state(&job).unwrap_or_else(|| "no answer".to_owned());
-    let starts = cell.starts_of(&job.id);
+    let is_running = host_of(&cell).is_some();
+    let failed = cell
+        .starts_of(&job.id)
+        .iter()
+        .filter(|start| start.how == "failed")
+        .count();
     let line = format!(
-        "job {} is shown as {state}; runs that began: {}",
-        job.id,
-        starts.len()
+        "job {} is shown as {state}; its task runs: {is_running}; ends `failed`: {failed}",
+        job.id
     );
     record.line(&line);
     println!("{line}");
     cell.finish();
-    // Only ends `failed` count as attempts, and no stand-in lists one.
-    Ok(if job.is_accepted && state == "failed" {
+    // A task that lasts has no limit of attempts, and runs until its job is cancelled.
+    let is_lost = job.is_accepted && (state == "failed" || !is_running);
+    Ok(if is_lost {
         Outcome::Broken
     } else {
         Outcome::Held
--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -3,8 +3,8 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +24,9 @@
 /// The time between two attempts of a caller.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// The interval at which the platform checks the hosts.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long the hosts may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -51,6 +54,8 @@
     folder: PathBuf,
     _store_server: Server,
     next_host: AtomicUsize,
+    /// When the hosts were last checked, and which were ready.
+    ready: Mutex<(Option<Instant>, Vec<usize>)>,
 }
 
 /// What a caller saw of a job that it handed in.
@@ -106,6 +111,7 @@
             folder,
             _store_server: server,
             next_host: AtomicUsize::new(0),
+            ready: Mutex::default(),
         })
     }
 
@@ -132,16 +138,40 @@
         Ok(worker)
     }
 
-    /// Starts `count` hosts and waits until they are ready and one owns the cell.
+    /// Starts `count` equal hosts and waits until they are ready.
     pub fn start_hosts(&mut self, count: usize) -> Result<(), String> {
         for number in 0..count {
-            let name = format!("edge-tacoma-{}", number + 1);
-            let address = loopback(10 + number as u8);
-            let store = self.store_address;
-            let host = Host::start(&self.folder, &name, "tacoma", address, store, &self.record);
-            self.hosts
-                .push(host.map_err(|error| format!("a host does not start: {error}"))?);
+            self.start_host(number, 0.25, self.store_address)?;
         }
+        self.wait_ready()
+    }
+
+    /// Starts a host that reaches the store at `store`.
+    pub fn start_host(
+        &mut self,
+        number: usize,
+        processor: f64,
+        store: SocketAddr,
+    ) -> Result<(), String> {
+        let name = format!("edge-tacoma-{}", number + 1);
+        let address = loopback(10 + number as u8);
+        let record = &self.record;
+        let host = Host::start(
+            &self.folder,
+            &name,
+            "tacoma",
+            address,
+            processor,
+            store,
+            record,
+        );
+        self.hosts
+            .push(host.map_err(|error| format!("a host does not start: {error}"))?);
+        Ok(())
+    }
+
+    /// Waits until the hosts are ready and one owns the cell.
+    pub fn wait_ready(&self) -> Result<(), String> {
         let deadline = Instant::now() + READY_TIMEOUT;
         while !(self.hosts.iter().all(|host| host.is_ready()) && self.owner().is_some()) {
             if Instant::now() > deadline {
@@ -164,14 +194,32 @@
             .cloned()
     }
 
+    /// Returns the hosts that get connections: those that were ready at the last check,
+    /// once per second, or all if none was.
+    fn rotation(&self) -> Vec<usize> {
+        let mut checked = self.ready.lock().unwrap();
+        if checked.0.is_none_or(|at| at.elapsed() > CHECK_INTERVAL) {
+            let ready = self
+                .hosts
+                .iter()
+                .enumerate()
+                .filter(|(_, host)| host.is_ready());
+            *checked = (
+                Some(Instant::now()),
+                ready.map(|(index, _)| index).collect(),
+            );
+        }
+        if checked.1.is_empty() {
+            (0..self.hosts.len()).collect()
+        } else {
+            checked.1.clone()
+        }
+    }
+
     /// Sends a call of a team to the next ready host.
     fn call(&self, key: &str, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
-        let ready: Vec<_> = self.hosts.iter().filter(|host| host.is_ready()).collect();
-        let ready = if ready.is_empty() {
-            self.hosts.iter().collect()
-        } else {
-            ready
-        };
+        let ready = self.rotation();
+        let ready: Vec<_> = ready.into_iter().map(|index| &self.hosts[index]).collect();
         let turn = self.next_host.fetch_add(1, Ordering::SeqCst);
         let host = ready[turn % ready.len()];
         let headers = format!(
--- a/review/standin/host.rs
+++ b/review/standin/host.rs
@@ -16,8 +16,14 @@
 const PROGRAM: &str = "target/release/pimentochute";
 
 const SIGKILL: i32 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
+/// The period of a quota of processor time.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 
 unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
 }
 
@@ -48,6 +54,7 @@
         name: &str,
         zone: &str,
         address: IpAddr,
+        processor: f64,
         store: SocketAddr,
         record: &Arc<Record>,
     ) -> std::io::Result<Arc<Self>> {
@@ -55,7 +62,7 @@
         let text = format!(
             "{{\"host\":\"{name}\",\"data_centre\":\"{zone}\",\"address\":\"{address}\",\
              \"listen\":{{\"callers\":\"{front}\",\"checks\":\"{checks}\"}},\"peer_port\":{},\
-             \"processor\":0.25,\"log_address\":\"{store}\",\"logging\":{{\"format\":\"json\"}},\
+             \"processor\":{processor},\"log_address\":\"{store}\",\"logging\":{{\"format\":\"json\"}},\
              \"times\":{{\"max_lease_ms\":10000,\"stop_ms\":400,\"revoke_ms\":5000,\
              \"keep_ended_s\":120,\"stop_grace_s\":6}}}}",
             peer.port()
@@ -75,7 +82,8 @@
         Ok(host)
     }
 
-    fn run(&self) -> std::io::Result<()> {
+    /// Starts the process.
+    pub fn run(&self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(PROGRAM);
         command.arg("edge").env_clear();
@@ -109,6 +117,26 @@
         self.run()
     }
 
+    /// Gives the process a quota of processor time: it runs for `share` of each period
+    /// and stands still for the rest.
+    pub fn limit_share(self: &Arc<Self>, share: f64) {
+        let weak = Arc::downgrade(self);
+        std::thread::spawn(move || {
+            let running = QUOTA_PERIOD.mul_f64(share);
+            loop {
+                for (signal, span) in [(SIGCONT, running), (SIGSTOP, QUOTA_PERIOD - running)] {
+                    let Some(host) = weak.upgrade() else { return };
+                    if let Some(child) = &*host.child.lock().unwrap() {
+                        // SAFETY: the process is a child that has not been waited for.
+                        unsafe { kill(child.id() as i32, signal) };
+                    }
+                    drop(host);
+                    std::thread::sleep(span);
+                }
+            }
+        });
+    }
+
     /// Ends the process.
     pub fn end(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -50,10 +50,11 @@
     record.line(&format!("case {case}, with the disruption: {has_trouble}"));
     let outcome = match case.as_str() {
         "large-job" => cases::large_job(&record, has_trouble),
+        "narrow-link" => cases::narrow_link(&record, has_trouble),
         "late-answer" => cases::late_answer(&record, has_trouble),
         "drained-worker" => cases::drained_worker(&record, has_trouble),
         "hopeless-gang" => cases::hopeless_gang(&record, has_trouble),
-        "crashed-workers" => cases::crashed_workers(&record, has_trouble),
+        "crashed-service" => cases::crashed_service(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     let (text, code) = match outcome {
--- a/review/standin/proxy.rs
+++ b/review/standin/proxy.rs
@@ -1,10 +1,11 @@
-//! A proxy in front of a worker that can delay answers on their way.
+//! Proxies: one in front of a worker that can delay answers on their way, and one for
+//! a link of limited bandwidth.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::record::Record;
 
@@ -81,7 +82,7 @@
 /// Copies bytes until the connection ends, each part after the delay that
 /// `delay_of` returns.
 fn copy(mut from: TcpStream, mut to: TcpStream, delay_of: impl Fn(&[u8]) -> Option<Duration>) {
-    let mut part = vec![0; 64 * 1024];
+    let mut part = vec![0; 16 * 1024];
     while let Ok(count) = from.read(&mut part) {
         if count == 0 {
             break;
@@ -96,3 +97,44 @@
     drop(to.shutdown(Shutdown::Both));
     drop(from.shutdown(Shutdown::Both));
 }
+
+/// A proxy for the connections of one host that share a link of limited bandwidth.
+pub struct LinkProxy;
+
+impl LinkProxy {
+    /// Forwards connections from `listen` to `upstream`. All bytes that come back share
+    /// `bytes_per_s`.
+    pub fn start(
+        listen: SocketAddr,
+        upstream: SocketAddr,
+        bytes_per_s: u32,
+    ) -> std::io::Result<()> {
+        let listener = TcpListener::bind(listen)?;
+        // When the link is free again.
+        let link = Arc::new(Mutex::new(Instant::now()));
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let Ok(server) = TcpStream::connect(upstream) else {
+                    continue;
+                };
+                drop(client.set_nodelay(true));
+                drop(server.set_nodelay(true));
+                let (Ok(client_read), Ok(server_write)) = (client.try_clone(), server.try_clone())
+                else {
+                    continue;
+                };
+                thread::spawn(move || copy(client_read, server_write, |_| None));
+                let link = Arc::clone(&link);
+                thread::spawn(move || {
+                    copy(server, client, |bytes| {
+                        let mut free_at = link.lock().unwrap();
+                        let span = bytes.len() as f64 / f64::from(bytes_per_s);
+                        *free_at = (*free_at).max(Instant::now()) + Duration::from_secs_f64(span);
+                        Some(free_at.saturating_duration_since(Instant::now()))
+                    });
+                });
+            }
+        });
+        Ok(())
+    }
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -24,6 +24,9 @@
 /// The largest number of items on a page of the newest records.
 const PAGE_ITEMS: usize = 500;
 
+/// A page of the newest records ends when its values have this many bytes.
+const PAGE_BYTES: usize = 1_048_576;
+
 /// How many appends of a producer are remembered.
 const REMEMBERED_APPENDS: usize = 5;
 
@@ -226,7 +229,7 @@
                 quote(key),
                 base64(value)
             ));
-            if items.len() == PAGE_ITEMS || bytes >= 1_000_000 {
+            if items.len() == PAGE_ITEMS || bytes >= PAGE_BYTES {
                 break;
             }
         }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -100,8 +100,6 @@
 struct Faults {
     /// Nothing reaches the worker, and nothing from it arrives.
     is_cut: bool,
-    /// The worker crashes when a start arrives.
-    crashes_at_start: bool,
 }
 
 struct Shared {
@@ -245,28 +243,6 @@
         self.shared.faults.lock().unwrap().is_cut = is_cut;
     }
 
-    /// Lets the worker crash when the next start arrives, before it is carried out.
-    pub fn crash_at_next_start(&self) {
-        self.shared.faults.lock().unwrap().crashes_at_start = true;
-    }
-
-    /// Undoes [`Worker::crash_at_next_start`].
-    pub fn disarm(&self) {
-        self.shared.faults.lock().unwrap().crashes_at_start = false;
-    }
-
-    /// Returns whether the worker has crashed and has not started again.
-    pub fn is_gone(&self) -> bool {
-        self.shared.life.lock().unwrap().is_gone
-    }
-
-    /// Ends the connections of a worker that has crashed at a start.
-    pub fn close(&self) {
-        if let Some(mut server) = self.server.lock().unwrap().take() {
-            server.crash();
-        }
-    }
-
     /// Returns the number of runs.
     pub fn running(&self) -> usize {
         self.shared.life.lock().unwrap().running.len()
@@ -410,17 +386,6 @@
         if life.is_gone {
             return None;
         }
-        if request.path == "/run-start" {
-            let mut faults = self.faults.lock().unwrap();
-            if std::mem::take(&mut faults.crashes_at_start) {
-                life.is_gone = true;
-                let task = body.text("task");
-                self.record.line(&format!(
-                    "worker {id} crashes as the start of {task} arrives"
-                ));
-                return None;
-            }
-        }
         let clock_ms = u64::try_from(life.clock().as_millis()).unwrap_or(0);
         let refuse = |reason: &str| {
             Some(Response::json(
