--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -54,7 +54,7 @@
         "late-answer" => cases::late_answer(&record, has_trouble),
         "drained-worker" => cases::drained_worker(&record, has_trouble),
         "hopeless-gang" => cases::hopeless_gang(&record, has_trouble),
-        "crashed-service" => cases::crashed_service(&record, has_trouble),
+        "crashed-workers" => cases::crashed_workers(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     let (text, code) = match outcome {
