--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -315,7 +315,7 @@
         found
     }
 
-    /// Ends the hosts and removes their files, unless `KEEP` is set.
+    /// Ends the hosts.
     pub fn finish(&self) {
         for host in &self.hosts {
             if host.has_exited() {
@@ -324,6 +324,13 @@
             }
             host.end();
         }
+    }
+}
+
+impl Drop for Cell {
+    /// Ends the hosts and removes their files, unless `KEEP` is set.
+    fn drop(&mut self) {
+        self.hosts.iter().for_each(|host| host.end());
         if std::env::var_os("KEEP").is_none_or(|value| value.is_empty()) {
             drop(fs::remove_dir_all(&self.folder));
         } else {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,4 +1,6 @@
-//! The stand-ins and the scripts of the review. Usage: `review-standin CASE FOLDER`.
+//! The stand-ins and the scripts of the review. Usage: `review-standin CASE FOLDER`; the
+//! cases are `narrow-link` (2), `late-answer` (3), `hopeless-gang` (4) and
+//! `crashed-workers` (5). `large-job` and `drained-worker` are findings without a case.
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not
 //! run. With `TROUBLE=0` the disruption is left out.
 
