--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -248,6 +248,49 @@
     Ok(outcome)
 }
 
+/// The store goes down after a worker has reported that it drains, and the entry of the
+/// worker expires after the return of the store.
+pub fn unread_report(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const TASKS: usize = 6;
+    const TASK_TIME: Duration = Duration::from_secs(14);
+    /// From a regular report of the worker to the one that it drains.
+    const AFTER_BEAT: Duration = Duration::from_millis(600);
+    /// From the report to the outage.
+    const BEFORE_OUTAGE: Duration = Duration::from_millis(100);
+    const OUTAGE: Duration = Duration::from_millis(3_900);
+    let mut cell = Cell::new(Arc::clone(record), &[ALFA]).map_err(text_of)?;
+    let profile = cell.profile(0, WORKER_CPU, TASK_TIME);
+    let worker = cell.add_worker(profile).map_err(text_of)?;
+    cell.start_hosts(3)?;
+    let body = one_step(TASKS, 1_000, 14_000, "");
+    cell.hand_in(ALFA.key, &job_id(1, 0), &body);
+    if !wait_until(Duration::from_secs(5), || worker.running() == TASKS) {
+        return Err("the job does not start".to_owned());
+    }
+    for number in 1..4 {
+        let profile = cell.profile(number, WORKER_CPU, TASK_TIME);
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    thread::sleep(Duration::from_secs(1));
+    worker.wait_after_beat(AFTER_BEAT);
+    // After a report the owner reads the next ones 200 ms later.
+    cell.workers[1].report();
+    thread::sleep(Duration::from_millis(20));
+    worker.drain();
+    if has_trouble {
+        thread::sleep(BEFORE_OUTAGE);
+        record.line("the store is down");
+        cell.store.set_down(true);
+        thread::sleep(OUTAGE);
+        cell.store.set_down(false);
+        record.line("the store is back");
+    }
+    thread::sleep(TASK_TIME);
+    let outcome = judge_doubled(&cell);
+    cell.finish();
+    Ok(outcome)
+}
+
 /// The large hosts lose power, and a host with a narrow link becomes the owner.
 pub fn narrow_link(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
     /// The links of the small hosts: 10 Mbit/s, of which headers take 6 %.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,6 @@
 //! The stand-ins and the scripts of the review. Usage: `review-standin CASE FOLDER`; the
-//! cases are `narrow-link` (2), `late-answer` (3), `hopeless-gang` (4) and
-//! `crashed-workers` (5). `large-job` and `drained-worker` are findings without a case.
+//! cases are `unread-report` (1), `narrow-link` (2), `late-answer` (3), `hopeless-gang`
+//! (4) and `crashed-workers` (5). `large-job` and `drained-worker` are findings without a case.
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not
 //! run. With `TROUBLE=0` the disruption is left out.
 
@@ -52,6 +52,7 @@
     record.line(&format!("case {case}, with the disruption: {has_trouble}"));
     let outcome = match case.as_str() {
         "large-job" => cases::large_job(&record, has_trouble),
+        "unread-report" => cases::unread_report(&record, has_trouble),
         "narrow-link" => cases::narrow_link(&record, has_trouble),
         "late-answer" => cases::late_answer(&record, has_trouble),
         "drained-worker" => cases::drained_worker(&record, has_trouble),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -67,6 +67,8 @@
     groups: HashMap<String, Group>,
     /// Appends that were refused because a record or the call was too large.
     too_large: u64,
+    /// The store answers nothing.
+    is_down: bool,
 }
 
 /// The store. Clones share their state.
@@ -79,10 +81,30 @@
     /// Serves the store.
     pub fn serve(&self, address: SocketAddr) -> std::io::Result<Server> {
         let store = self.clone();
-        Server::start(
-            address,
-            Arc::new(move |request| Some(store.handle(&request))),
-        )
+        Server::start(address, Arc::new(move |request| store.answer(&request)))
+    }
+
+    /// Lets the store answer nothing, or ends that.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.0.lock().unwrap().is_down = is_down;
+    }
+
+    /// Returns whether the store answers nothing.
+    pub fn is_down(&self) -> bool {
+        self.state.0.lock().unwrap().is_down
+    }
+
+    /// Handles a request; `None` if the store is down meanwhile.
+    fn answer(&self, request: &Request) -> Option<Response> {
+        let was_down = self.is_down();
+        while self.is_down() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        if was_down {
+            return None;
+        }
+        let response = self.handle(request);
+        (!self.is_down()).then_some(response)
     }
 
     /// Writes a record of the operator or of a worker; an empty value removes the key.
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -111,6 +111,8 @@
     ledger: Arc<Ledger>,
     store: Store,
     last_report: Mutex<Instant>,
+    /// When the next regular report is due.
+    next_beat: Mutex<Instant>,
     sequence: Mutex<u64>,
 }
 
@@ -165,6 +167,7 @@
             ledger: Arc::clone(ledger),
             store: store.clone(),
             last_report: Mutex::new(Instant::now()),
+            next_beat: Mutex::new(Instant::now() + HEARTBEAT),
             sequence: Mutex::new(0),
         });
         let worker = Arc::new(Self {
@@ -221,6 +224,17 @@
         Ok(())
     }
 
+    /// Waits until `after` has passed since the last regular report.
+    pub fn wait_after_beat(&self, after: Duration) {
+        let next = *self.shared.next_beat.lock().unwrap();
+        thread::sleep((next + after).saturating_duration_since(Instant::now()));
+    }
+
+    /// Reports the worker once more.
+    pub fn report(&self) {
+        self.shared.report();
+    }
+
     /// Reports that the worker is draining.
     pub fn drain(&self) {
         self.shared.life.lock().unwrap().is_draining = true;
@@ -277,19 +291,29 @@
         drop(life);
         let is_cut = shared.faults.lock().unwrap().is_cut;
         let age = shared.last_report.lock().unwrap().elapsed();
-        if !is_gone && !is_cut && age >= HEARTBEAT {
-            shared.report();
-        }
         if age >= ENTRY_LIFETIME {
             shared.remove_entry();
         }
+        let mut next = shared.next_beat.lock().unwrap();
+        let is_due = Instant::now() >= *next;
+        if is_due {
+            *next += HEARTBEAT;
+        }
+        drop(next);
+        if is_due && !is_gone && !is_cut {
+            shared.report();
+        }
         drop(shared);
         thread::sleep(TICK);
     }
 }
 
 impl Shared {
+    /// Writes the entry of the worker, unless the store is down.
     fn report(&self) {
+        if self.store.is_down() {
+            return;
+        }
         let profile = self.profile.lock().unwrap().clone();
         let life = self.life.lock().unwrap();
         let (born, clock, is_draining) = (life.born, life.clock(), life.is_draining);
