--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -102,7 +102,7 @@
     for text in &doubled {
         cell.record.line(&format!("TWICE: {text}"));
     }
-    let line = format!("{} starts of tasks break the rule", doubled.len());
+    let line = format!("{} pairs of runs break the rule", doubled.len());
     cell.record.line(&line);
     println!("{line}");
     if doubled.is_empty() {
