--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -166,6 +166,7 @@
 
 /// The answer of a worker to a poll arrives after the report of its next life.
 pub fn late_answer(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const WORKERS: usize = 8;
     const TASK_TIME: Duration = Duration::from_millis(800);
     const DELAY: Duration = Duration::from_millis(600);
     const DOWN: Duration = Duration::from_millis(100);
@@ -174,6 +175,11 @@
     profile.reported = free_port(loopback(90));
     let proxy = Proxy::start(profile.reported, profile.address, record).map_err(text_of)?;
     let worker = cell.add_worker(profile).map_err(text_of)?;
+    for number in 1..WORKERS {
+        let profile = cell.profile(number, WORKER_CPU, TASK_TIME);
+        cell.add_worker(profile).map_err(text_of)?;
+    }
+    // Of equal workers the owner takes the one first that it has known longest.
     cell.start_hosts(3)?;
     for number in 0..8 {
         cell.hand_in(ALFA.key, &job_id(1, number), &one_step(2, 1_000, 800, ""));
@@ -251,6 +257,7 @@
 /// The store goes down after a worker has reported that it drains, and the entry of the
 /// worker expires after the return of the store.
 pub fn unread_report(record: &Arc<Record>, has_trouble: bool) -> Result<Outcome, String> {
+    const WORKERS: usize = 16;
     const TASKS: usize = 6;
     const TASK_TIME: Duration = Duration::from_secs(14);
     /// From a regular report of the worker to the one that it drains.
@@ -267,7 +274,7 @@
     if !wait_until(Duration::from_secs(5), || worker.running() == TASKS) {
         return Err("the job does not start".to_owned());
     }
-    for number in 1..4 {
+    for number in 1..WORKERS {
         let profile = cell.profile(number, WORKER_CPU, TASK_TIME);
         cell.add_worker(profile).map_err(text_of)?;
     }
@@ -453,12 +460,12 @@
     if has_trouble {
         for crash in 0..CRASHES {
             thread::sleep(DOWN);
-            // At most one worker is down, but for the moment in which the next one follows.
+            // One worker is down at a time: this one is back when the next one crashes.
+            let id = format!("i-{:010x}", 0x77_0000 + crash);
+            cell.workers[crash].restart(&id).map_err(text_of)?;
             if crash + 1 < CRASHES {
                 cell.workers[crash + 1].crash();
             }
-            let id = format!("i-{:010x}", 0x77_0000 + crash);
-            cell.workers[crash].restart(&id).map_err(text_of)?;
         }
     }
     thread::sleep(Duration::from_secs(6));
