--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -71,13 +71,15 @@
             return;
         }
         worker.in_platform_list = false;
+        let silence = self.now.since(worker.reported_at);
         log::info!(
             worker:% = id,
             runs = worker.runs.len(),
-            draining = worker.report.is_draining;
+            draining = worker.report.is_draining,
+            silence:%,
+            last_answer:% = self.now.since(worker.last_answer_at);
             "cell: a worker left the platform's list"
         );
-        let silence = self.now.since(worker.reported_at);
         if worker.report.is_draining && silence < self.policy.clean_leave_timeout {
             self.requeue_runs(key, "its worker has left");
         }
