Take a draining worker for gone only if its entry cannot have expired

Cause: the platform removes the entry of a worker that has left, but also one that was not renewed for three heartbeat intervals. The owner told them apart by the time since it had read the last report. After an outage it reads report and removal in one page, and a new owner took the time of its load, so that an expired entry looked like a departure.

Evidence: before, the line 'a worker left the platform's list' had silence 0 ms and last_answer 47 ms, followed by 'its worker has left'. The two tests the_tasks_of_a_draining_worker_survive_* failed on ('a task runs twice'); the_tasks_of_a_worker_that_has_left_start_again_at_once held.

Why this works: what a read returns was written after the last read that reached the end of the topic had been sent. This bound, kept for each entry, errs only towards an older entry. A departure counts as clean within two and a half heartbeat intervals of it; the interval is a setting now.

--- a/crates/pimentochute-edge/src/owner/load.rs
+++ b/crates/pimentochute-edge/src/owner/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use pimentochute_base::MilliSpan;
+use pimentochute_base::{MilliSpan, MilliTime};
 use pimentochute_work::{
     JobCode, JobCrashes, JobProgress, JobSubmission, RecordKind, RecordWrite, WorkCell,
     WorkerReport, decode_record,
@@ -33,6 +33,8 @@
 pub(super) struct LoadedOffsets {
     pub(super) intake: u64,
     pub(super) workers: u64,
+    /// When the read that returned `workers` was sent, on the host's clock.
+    pub(super) workers_read_at: MilliTime,
 }
 
 /// Returns the log record for a record of a job.
@@ -86,6 +88,7 @@
     mirror: &mut JobMirror,
 ) -> Result<LoadedOffsets, StoreError> {
     let worker_topic = context.ports.codec.worker_topic();
+    let workers_read_at = context.clock.now();
     let reading =
         futures::future::join(mirror.catch_up(context), read_newest(context, worker_topic));
     let (caught_up, workers) = reading.await;
@@ -130,6 +133,7 @@
     Ok(LoadedOffsets {
         intake: mirror.intake.next_offset(),
         workers: workers_end,
+        workers_read_at,
     })
 }
 
--- a/crates/pimentochute-edge/src/owner/local_owner.rs
+++ b/crates/pimentochute-edge/src/owner/local_owner.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use pimentochute_base::MilliTime;
 use pimentochute_work::{CallerAnswer, JobCode, JobSubmission, WorkerReport};
 use tokio::sync::{mpsc, oneshot};
 
@@ -34,6 +35,9 @@
         reports: Vec<(String, Option<WorkerReport>)>,
         /// Workers that are missing in the reports no longer exist.
         is_complete: bool,
+        /// The reports were written at this time or later, on the host's clock; `None`
+        /// if that is not known.
+        written_after: Option<MilliTime>,
     },
     /// A host forwards a job of a caller.
     ForwardedJob(ForwardedJob, oneshot::Sender<OwnerAnswer>),
--- a/crates/pimentochute-edge/src/owner/readers.rs
+++ b/crates/pimentochute-edge/src/owner/readers.rs
@@ -6,11 +6,11 @@
 use pimentochute_base::MilliSpan;
 use tokio::sync::mpsc;
 
-use super::load;
+use super::load::{self, LoadedOffsets};
 use super::{CellInput, CellOwner};
-use crate::StoreError;
 use crate::intake::INTAKE_TOPIC;
 use crate::outage_log::OutageLog;
+use crate::{StoreError, TopicPage};
 
 /// How long a read blocks until there are jobs.
 const INTAKE_WAIT: MilliSpan = MilliSpan::new(3_000);
@@ -68,28 +68,45 @@
         }
     }
 
-    /// Passes the reports of workers to the term, starting at the offset `from`.
-    pub(super) async fn read_workers(&self, mut from: u64, inputs: mpsc::Sender<CellInput>) {
+    /// Passes the reports of workers to the term, starting after those that were loaded.
+    pub(super) async fn read_workers(
+        &self,
+        loaded: LoadedOffsets,
+        inputs: mpsc::Sender<CellInput>,
+    ) {
         let topic = self.context.ports.codec.worker_topic();
         let store = &self.context.ports.store;
         let mut outage = OutageLog::new(
             "owner: reading the list of workers",
             self.context.clock.clone(),
         );
+        let mut from = loaded.workers;
+        // What follows a read that reached the end of the topic was written after that
+        // read was sent. The time of the answer proves less: it may be late.
+        let mut written_after = loaded.workers_read_at;
         loop {
+            let sent_at = self.context.clock.now();
             let page = match store.read(topic, from, WORKER_WAIT).await {
-                Ok(page) => Ok((page.records, page.next, false)),
+                Ok(page) => Ok((page, false)),
                 Err(StoreError::RecordsExpired) => {
                     let newest = load::read_newest(&self.context, topic).await;
-                    newest.map(|(records, end)| (records, end, true))
+                    newest.map(|(records, next)| {
+                        let page = TopicPage {
+                            records,
+                            next,
+                            end: next,
+                        };
+                        (page, true)
+                    })
                 }
                 Err(error) => Err(error),
             };
             match page {
-                Ok((records, next, is_complete)) => {
-                    from = next;
+                Ok((page, is_complete)) => {
+                    from = page.next;
+                    let is_last = page.is_last();
                     outage.record_success();
-                    let reports = records.iter().filter_map(|record| {
+                    let reports = page.records.iter().filter_map(|record| {
                         if record.value.is_empty() {
                             return Some((record.key.clone(), None));
                         }
@@ -100,10 +117,15 @@
                     let input = CellInput::Workers {
                         reports,
                         is_complete,
+                        // A list of the newest entries also has those from before.
+                        written_after: (!is_complete).then_some(written_after),
                     };
                     if inputs.send(input).await.is_err() {
                         return;
                     }
+                    if is_last {
+                        written_after = sent_at;
+                    }
                     tokio::time::sleep(WORKER_INTERVAL.as_duration()).await;
                 }
                 Err(error) => {
--- a/crates/pimentochute-edge/src/owner/run.rs
+++ b/crates/pimentochute-edge/src/owner/run.rs
@@ -205,8 +205,7 @@
         let next = Arc::clone(intake_offset);
         let intake = tokio::spawn(async move { owner.read_intake(next, sender).await });
         let (owner, sender) = (self.clone(), inputs.clone());
-        let workers =
-            tokio::spawn(async move { owner.read_workers(offsets.workers, sender).await });
+        let workers = tokio::spawn(async move { owner.read_workers(offsets, sender).await });
         [
             AbortOnDropHandle::new(intake),
             AbortOnDropHandle::new(workers),
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -169,15 +169,19 @@
             CellInput::Workers {
                 reports,
                 is_complete,
+                written_after,
             } => {
                 if is_complete {
                     let ids = reports.iter().map(|(id, _)| id.clone()).collect();
                     self.cell.unlist_workers_except(&ids);
                 }
                 for (id, report) in reports {
-                    match report {
-                        Some(report) => self.cell.worker_reported(report),
-                        None => self.cell.worker_unlisted(&id),
+                    match (report, written_after) {
+                        (Some(report), Some(written_after)) => {
+                            self.cell.worker_reported_after(report, written_after);
+                        }
+                        (Some(report), None) => self.cell.worker_reported(report),
+                        (None, _) => self.cell.worker_unlisted(&id),
                     }
                 }
             }
--- a/crates/pimentochute-edge/src/ports.rs
+++ b/crates/pimentochute-edge/src/ports.rs
@@ -169,6 +169,8 @@
     pub records: Vec<KeyedRecord>,
     /// The offset after the last record of the page.
     pub next: u64,
+    /// The offset after the last record of the topic.
+    pub end: u64,
 }
 
 /// A page of the newest records of all keys. The pages of a topic are not a
@@ -249,6 +251,14 @@
     },
 }
 
+impl TopicPage {
+    /// Returns whether the page reaches the end of the topic.
+    #[must_use]
+    pub const fn is_last(&self) -> bool {
+        self.next >= self.end
+    }
+}
+
 impl StoreError {
     /// Returns whether the call has certainly had and will have no effect.
     #[must_use]
--- a/crates/pimentochute-edge/src/settings.rs
+++ b/crates/pimentochute-edge/src/settings.rs
@@ -18,6 +18,11 @@
 /// time between the check of the key and the effect of the call.
 const KEY_GRACE_PERCENT: u64 = 80;
 
+/// A worker that leaves the platform's list within this time after its last entry has
+/// ended, in percent of the interval at which workers renew their entries. Entries expire
+/// after three intervals; the rest allows for clocks and a slow log.
+const CLEAN_LEAVE_PERCENT: u64 = 250;
+
 /// The settings of an entry host. Unknown fields are ignored.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct EdgeSettings {
@@ -70,6 +75,10 @@
     pub keep_ended_s: u64,
     /// The time between SIGTERM and SIGKILL, in seconds.
     pub stop_grace_s: u64,
+    /// The interval at which workers renew their entries in the platform's list; 1.5 s
+    /// by default.
+    #[serde(default = "default_heartbeat")]
+    pub heartbeat_ms: MilliSpan,
 }
 
 /// A field of the settings is missing or has an invalid value.
@@ -87,6 +96,11 @@
     1.0
 }
 
+/// The interval of platforms whose settings do not give it.
+const fn default_heartbeat() -> MilliSpan {
+    MilliSpan::new(1_500)
+}
+
 impl EdgeSettings {
     /// Reads settings from JSON text. Unknown fields are ignored, since the
     /// platform may add fields at any time.
@@ -141,6 +155,8 @@
         policy.lease.duration = MilliSpan::new(lease);
         policy.lease.max_lease = self.max_lease_ms;
         policy.stop_timeout = self.stop_ms;
+        let clean_leave = self.heartbeat_ms.as_millis() * CLEAN_LEAVE_PERCENT / 100;
+        policy.clean_leave_timeout = MilliSpan::new(clean_leave);
         let keep_ended = MilliSpan::new(self.keep_ended_s * 1_000);
         policy.ended_job_retention = policy.ended_job_retention.max(keep_ended);
         policy
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -1,6 +1,6 @@
 //! Applies the platform's list of workers: new, restarted and absent ones.
 
-use pimentochute_base::MilliTime;
+use pimentochute_base::{MilliSpan, MilliTime};
 
 use crate::worker::WorkerState;
 use crate::{WorkerKey, WorkerReport};
@@ -8,19 +8,30 @@
 use super::WorkCell;
 
 impl WorkCell {
-    /// Applies a worker's entry in the platform's list.
+    /// Applies a worker's entry in the platform's list, of which it is not known when it
+    /// was written.
     pub fn worker_reported(&mut self, report: WorkerReport) {
+        self.apply_report(report, None);
+    }
+
+    /// Applies a worker's entry in the platform's list that was written at
+    /// `written_after` or later, on the cell's clock.
+    pub fn worker_reported_after(&mut self, report: WorkerReport, written_after: MilliTime) {
+        self.apply_report(report, Some(written_after));
+    }
+
+    fn apply_report(&mut self, report: WorkerReport, written_after: Option<MilliTime>) {
         let Some(key) = self.worker_keys.get(&report.id).copied() else {
             log::info!(
                 worker:% = report.id, pool:% = report.pool, address:% = report.address;
                 "cell: a new worker appeared in the platform's list"
             );
             let key = self.add_worker(report, true);
+            self.workers[key].entry_written_after = written_after;
             self.claim_address(key);
             self.needs_placement = true;
             return;
         };
-        let now = self.now;
         let worker = &mut self.workers[key];
         if report.started_at < worker.report.started_at {
             return;
@@ -44,14 +55,15 @@
             );
         }
         worker.in_platform_list = true;
-        worker.reported_at = now;
+        // An entry is never older than one that was read before.
+        worker.entry_written_after = worker.entry_written_after.max(written_after);
         worker.report = report;
         if has_restarted {
             self.reset_worker(key);
         } else if has_moved {
             let worker = &mut self.workers[key];
             worker.lease.raise_token();
-            worker.lease.next_poll_at = now;
+            worker.lease.next_poll_at = self.now;
         }
         if claims_address {
             self.claim_address(key);
@@ -60,8 +72,8 @@
     }
 
     /// Marks a worker as absent from the platform's list. Its state is removed once
-    /// it has no runs. The runs of a draining worker that was reported recently are
-    /// requeued at once.
+    /// it has no runs. The runs of a draining worker whose entry cannot have expired are
+    /// requeued at once; those of other workers may still be running.
     pub fn worker_unlisted(&mut self, id: &str) {
         let Some(key) = self.worker_keys.get(id).copied() else {
             return;
@@ -71,16 +83,19 @@
             return;
         }
         worker.in_platform_list = false;
-        let silence = self.now.since(worker.reported_at);
+        let entry_age = worker.entry_age(self.now);
+        let has_left = worker.report.is_draining
+            && entry_age.is_some_and(|age| age < self.policy.clean_leave_timeout);
         log::info!(
             worker:% = id,
             runs = worker.runs.len(),
             draining = worker.report.is_draining,
-            silence:%,
+            has_left,
+            entry_age_ms = entry_age.map(MilliSpan::as_millis),
             last_answer:% = self.now.since(worker.last_answer_at);
             "cell: a worker left the platform's list"
         );
-        if worker.report.is_draining && silence < self.policy.clean_leave_timeout {
+        if has_left {
             self.requeue_runs(key, "its worker has left");
         }
         self.needs_placement = true;
--- a/crates/pimentochute-work/src/policy.rs
+++ b/crates/pimentochute-work/src/policy.rs
@@ -19,8 +19,8 @@
     pub stall_timeout: MilliSpan,
     /// The longest interval between two calls of `WorkCell::run_due_work`.
     pub max_tick_interval: MilliSpan,
-    /// A draining worker that leaves the list within this time of its last report
-    /// has ended. If it leaves later, its entry may just have expired.
+    /// A draining worker that leaves the list within this time after it has written its
+    /// last entry has ended. If it leaves later, its entry may just have expired.
     pub clean_leave_timeout: MilliSpan,
     /// How long a worker that fails runs gets no new ones.
     pub avoid_duration: MilliSpan,
@@ -87,7 +87,7 @@
             stop_timeout: MilliSpan::new(400),
             stall_timeout: MilliSpan::new(1_300),
             max_tick_interval: MilliSpan::new(100),
-            clean_leave_timeout: MilliSpan::new(3_000),
+            clean_leave_timeout: MilliSpan::new(3_750),
             avoid_duration: MilliSpan::new(4_000),
         }
     }
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -19,8 +19,9 @@
     pub(crate) in_platform_list: bool,
     /// A worker that started later has the same address, so this one has ended.
     pub(crate) is_replaced: bool,
-    /// When the last entry of the worker was received, on the cell's clock.
-    pub(crate) reported_at: MilliTime,
+    /// The last entry of the worker was written at this time or later, on the cell's
+    /// clock; `None` if that is not known.
+    pub(crate) entry_written_after: Option<MilliTime>,
     pub(crate) lease: LeaseState,
     /// The runs that are placed here, by job and index of the task. The sum of
     /// their demands is `committed`.
@@ -208,7 +209,7 @@
             report,
             in_platform_list: true,
             is_replaced: false,
-            reported_at: now,
+            entry_written_after: None,
             lease: LeaseState {
                 token,
                 has_control: false,
@@ -266,6 +267,12 @@
                 || self.runs.values().any(|run| run.order_token.is_some()))
     }
 
+    /// Returns the longest time for which the worker may not have renewed its entry in
+    /// the platform's list; `None` if that is not known.
+    pub(crate) fn entry_age(&self, now: MilliTime) -> Option<MilliSpan> {
+        self.entry_written_after.map(|written| now.since(written))
+    }
+
     /// Returns the free resources.
     pub(crate) fn free(&self) -> ResourceAmount {
         self.report.capacity.saturating_sub(&self.committed)
--- a/tests/src/edge_platform.rs
+++ b/tests/src/edge_platform.rs
@@ -22,6 +22,9 @@
 /// The number of partitions that the group assigns to its members.
 const PARTITIONS: u32 = 32;
 
+/// The topic with the entries of the workers.
+const WORKER_TOPIC: &str = "keyed.servers";
+
 /// The interval at which a blocked call checks its condition.
 const CHECK_INTERVAL: MilliSpan = MilliSpan::new(5);
 
@@ -170,6 +173,43 @@
         Some(text[start..].to_owned())
     }
 
+    /// Returns the indexes of the workers that run tasks.
+    #[must_use]
+    pub fn busy_workers(&self) -> Vec<usize> {
+        let state = self.state();
+        let workers = state.workers.iter().enumerate();
+        let busy = workers.filter(|(_, worker)| !worker.runs.is_empty());
+        busy.map(|(index, _)| index).collect()
+    }
+
+    /// Writes the entry of a worker again, as each worker does at regular intervals.
+    pub fn renew_entry(&self, index: usize) {
+        let mut state = self.state();
+        let report = state.workers[index].report.clone();
+        state.write_entry(report);
+    }
+
+    /// Writes the entry of a worker that drains. The worker goes on with its runs.
+    pub fn report_draining(&self, index: usize) {
+        self.state().workers[index].report.is_draining = true;
+        self.renew_entry(index);
+    }
+
+    /// Removes the entry of a worker from the platform's list.
+    pub fn remove_entry(&self, index: usize) {
+        let mut state = self.state();
+        let record = KeyedRecord {
+            key: state.workers[index].report.id.clone(),
+            value: Bytes::new(),
+        };
+        state.topic(WORKER_TOPIC).push(record);
+    }
+
+    /// Ends the process of a worker, and all its runs with it.
+    pub fn end_worker(&self, index: usize) {
+        self.state().workers[index].crash();
+    }
+
     fn report_workers(&self) {
         let mut state = self.state();
         let reports: Vec<_> = state
@@ -178,21 +218,7 @@
             .map(|worker| worker.report.clone())
             .collect();
         for report in reports {
-            let value = serde_json::json!({
-                "service": report.pool,
-                "address": report.address,
-                "zone": report.data_centre,
-                "state": "ready",
-                "capacity": {"cpu": report.capacity.cpu_millis, "mem-mb": report.capacity.memory_mib},
-                "labels": report.labels,
-                "clock-ms": report.clock.as_millis(),
-                "born": report.started_at.as_millis(),
-            });
-            let record = KeyedRecord {
-                key: report.id,
-                value: Bytes::from(value.to_string()),
-            };
-            state.topic("keyed.servers").push(record);
+            state.write_entry(report);
         }
     }
 
@@ -207,6 +233,24 @@
 }
 
 impl PlatformState {
+    fn write_entry(&mut self, report: WorkerReport) {
+        let value = serde_json::json!({
+            "service": report.pool,
+            "address": report.address,
+            "zone": report.data_centre,
+            "state": if report.is_draining { "draining" } else { "ready" },
+            "capacity": {"cpu": report.capacity.cpu_millis, "mem-mb": report.capacity.memory_mib},
+            "labels": report.labels,
+            "clock-ms": report.clock.as_millis(),
+            "born": report.started_at.as_millis(),
+        });
+        let record = KeyedRecord {
+            key: report.id,
+            value: Bytes::from(value.to_string()),
+        };
+        self.topic(WORKER_TOPIC).push(record);
+    }
+
     fn topic(&mut self, name: &str) -> &mut Vec<KeyedRecord> {
         self.topics.entry(name.to_owned()).or_default()
     }
@@ -262,10 +306,11 @@
         self.assigned_members.get((partition % count) as usize)
     }
 
+    /// Returns a worker that is up.
     fn worker(&mut self, id: &str) -> Option<&mut FleetWorker> {
         self.workers
             .iter_mut()
-            .find(|worker| worker.report.id == id)
+            .find(|worker| worker.report.id == id && worker.is_up)
     }
 }
 
@@ -320,7 +365,11 @@
             }
             if !records.is_empty() || self.platform.clock.now() >= until {
                 let next = from + records.len() as u64;
-                return Ok(TopicPage { records, next });
+                return Ok(TopicPage {
+                    records,
+                    next,
+                    end: next,
+                });
             }
             tokio::time::sleep(CHECK_INTERVAL.as_duration()).await;
         }
--- a/tests/tests/adapter_codec.rs
+++ b/tests/tests/adapter_codec.rs
@@ -121,10 +121,18 @@
     assert_eq!(settings.peer_address().to_string(), "10.0.0.1:7420");
     assert_eq!(settings.advice_address, None);
     assert_eq!(settings.times.key_grace(), MilliSpan::new(4_000));
-    assert_eq!(
-        settings.times.cell_policy().lease.duration,
-        MilliSpan::new(7_000)
-    );
+    let policy = settings.times.cell_policy();
+    assert_eq!(policy.lease.duration, MilliSpan::new(7_000));
+    assert_eq!(policy.clean_leave_timeout, MilliSpan::new(3_750));
+}
+
+/// Entries of a platform with shorter intervals expire earlier.
+#[test]
+fn a_clean_departure_follows_the_interval_at_which_entries_are_renewed() {
+    let text = SETTINGS.replace("\"stop_ms\"", "\"heartbeat_ms\":400,\"stop_ms\"");
+    let settings = EdgeSettings::read(text.as_bytes()).expect("settings");
+    let policy = settings.times.cell_policy();
+    assert_eq!(policy.clean_leave_timeout, MilliSpan::new(1_000));
 }
 
 #[test_case("\"peer_port\":7420", "\"peer_port\":99999", "peer_port"; "port")]
--- a/tests/tests/adapter_store.rs
+++ b/tests/tests/adapter_store.rs
@@ -163,3 +163,19 @@
     let expected = [(0, "a".to_owned()), (1, "b".to_owned())];
     assert_eq!(members, expected.into());
 }
+
+/// A page that ends before its topic does says nothing of when later records were written.
+#[test_case(41, true; "at the end")]
+#[test_case(42, false; "before the end")]
+#[tokio::test]
+async fn a_page_tells_whether_it_reaches_the_end_of_its_topic(end: u64, is_last: bool) {
+    let mut body = Vec::new();
+    body.extend(end.to_be_bytes());
+    body.extend(0_u64.to_be_bytes());
+    body.extend(b"\0\0\0\x03\x01kv");
+    let (store, _server) = store(http_response("200 OK", &body), RawEnd::Close).await;
+    let page = store.read("keyed.servers", 40, MilliSpan::ZERO).await;
+    let page = page.expect("a page");
+    assert_eq!((page.records.len(), page.next), (1, 41));
+    assert_eq!(page.is_last(), is_last);
+}
--- /dev/null
+++ b/tests/tests/edge_workers.rs
@@ -0,0 +1,143 @@
+//! Three entry hosts on a platform in memory, whose workers drain, leave, or only lose
+//! their entries in the platform's list.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use pimentochute_base::{MilliClock, MilliSpan};
+use pimentochute_server::log_dispatch;
+use pimentochute_server::settings::LoggingSettings;
+use pimentochute_tests::{EdgeCell, EdgePlatform, StoreFault};
+
+const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r","host":"jobs.example","path-prefix":"/q/","service":"pool","max-attempts":2,"stretch":2.0,"target-latency-ms":1000}],"services":[{"name":"pool"}],"tenants":[{"name":"t","api-keys":["secret"],"weight":100}]}"#;
+const JOB: &str =
+    r#"{"spec":"t","steps":[{"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":20000}]}"#;
+const HOSTS: usize = 3;
+const WORKERS: usize = 4;
+
+/// The time that a run takes; no task of these tests ends by itself.
+const RUN_TIME: MilliSpan = MilliSpan::new(20_000);
+
+/// The time from the last report of a worker until its entry expires.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(4_600);
+
+/// The time in which a task that is taken for lost would start again.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+
+/// Starts the hosts and a job, and waits until its tasks run.
+async fn running_job(platform: &EdgePlatform) -> EdgeCell {
+    if std::env::var_os("TEST_LOG").is_some() {
+        let dispatch = log_dispatch(LoggingSettings::default(), &MilliClock::system());
+        drop(dispatch.chain(std::io::stdout()).apply());
+    }
+    platform.write_config(CONFIG);
+    let cell = EdgeCell::start(platform, HOSTS);
+    for index in 0..HOSTS {
+        until("the hosts are ready", async || cell.is_ready(index).await).await;
+    }
+    until("a host owns the cell", async || cell.owner().is_some()).await;
+    let path = format!("/q/{:016x}", 1);
+    let reply = cell.call(0, Method::POST, &path, "secret", JOB).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    until("the tasks run", async || platform.start_counts().len() == 2).await;
+    // The owner has read the entries of all workers, and polls those that run tasks.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cell
+}
+
+async fn until(what: &str, condition: impl AsyncFn() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(
+            start.elapsed() < Duration::from_secs(10),
+            "timed out: {what}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns the highest number of starts of a task.
+fn most_starts(platform: &EdgePlatform) -> u32 {
+    platform.start_counts().into_values().max().unwrap_or(0)
+}
+
+fn set_faults(platform: &EdgePlatform, fault: Option<StoreFault>) {
+    for index in 0..HOSTS {
+        platform.set_fault(&format!("host-{index}"), fault);
+    }
+}
+
+/// Guards against an entry that expired during an outage of the store and is taken for
+/// the departure of a draining worker: its tasks ran twice.
+#[tokio::test]
+async fn the_tasks_of_a_draining_worker_survive_an_entry_that_expires_in_an_outage() {
+    let platform = EdgePlatform::new(WORKERS, RUN_TIME);
+    let _cell = running_job(&platform).await;
+    let draining = platform.busy_workers();
+    set_faults(&platform, Some(StoreFault::Refuse));
+    for index in &draining {
+        platform.report_draining(*index);
+    }
+    tokio::time::sleep(ENTRY_LIFETIME).await;
+    for index in &draining {
+        platform.remove_entry(*index);
+    }
+    set_faults(&platform, None);
+    let restart = Instant::now();
+    while restart.elapsed() < RESTART_TIME {
+        for index in (0..WORKERS).filter(|index| !draining.contains(index)) {
+            platform.renew_entry(index);
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(most_starts(&platform), 1, "a task runs twice");
+}
+
+/// Guards against a new owner that takes the time at which it loads the list for the time
+/// at which a draining worker has written its entry.
+#[tokio::test]
+async fn the_tasks_of_a_draining_worker_survive_a_new_owner_and_an_entry_that_expires() {
+    let platform = EdgePlatform::new(WORKERS, RUN_TIME);
+    let mut cell = running_job(&platform).await;
+    let draining = platform.busy_workers();
+    for index in &draining {
+        platform.report_draining(*index);
+    }
+    let drained = Instant::now();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let owner = cell.owner().expect("the cell has an owner");
+    cell.kill(owner);
+    until("another host owns the cell", async || {
+        cell.owner().is_some_and(|next| next != owner)
+    })
+    .await;
+    tokio::time::sleep(ENTRY_LIFETIME.saturating_sub(drained.elapsed())).await;
+    for index in &draining {
+        platform.remove_entry(*index);
+    }
+    tokio::time::sleep(RESTART_TIME).await;
+    assert_eq!(most_starts(&platform), 1, "a task runs twice");
+}
+
+/// Guards against tasks that wait for the end of a lease although their worker has
+/// reported that it drains, and has left.
+#[tokio::test]
+async fn the_tasks_of_a_worker_that_has_left_start_again_at_once() {
+    let platform = EdgePlatform::new(WORKERS, RUN_TIME);
+    let _cell = running_job(&platform).await;
+    let leaving = platform.busy_workers();
+    for index in &leaving {
+        platform.report_draining(*index);
+    }
+    tokio::time::sleep(Duration::from_millis(1_400)).await;
+    for index in &leaving {
+        platform.end_worker(*index);
+        platform.remove_entry(*index);
+    }
+    let left = Instant::now();
+    until("the tasks start again", async || {
+        platform.start_counts().values().all(|count| *count == 2)
+    })
+    .await;
+    assert!(left.elapsed() < Duration::from_secs(2), "the lease is over");
+}
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -579,3 +579,41 @@
         }
     }
 }
+
+/// Reports that the worker of a run drains, and that its entry is gone after `age`
+/// milliseconds in which it was not renewed. Returns the starts that follow at once.
+fn starts_after_unlisting(written: Option<MilliTime>, age: u64) -> TestEffects {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 4_000);
+    let starts = started(&mut test, 1, 1).starts;
+    test.answer_starts(&starts);
+    let index = usize::from(starts[0].target.id.ends_with('1'));
+    let mut draining = report(index, 4_000);
+    draining.is_draining = true;
+    match written {
+        Some(written) => test.cell.worker_reported_after(draining, written),
+        None => test.cell.worker_reported(draining),
+    }
+    test.step(age);
+    test.cell.worker_unlisted(&starts[0].target.id);
+    test.run_due_work();
+    test.record()
+}
+
+/// Guards against a task that runs twice, since the entry of its draining worker had
+/// expired: the time at which an entry is read says nothing of when it was written.
+#[test_case(None, 0; "written at an unknown time")]
+#[test_case(Some(MilliTime::new(100_000)), 4_500; "not renewed for as long as it lasts")]
+#[test_case(Some(MilliTime::new(95_500)), 0; "read late, together with its removal")]
+fn the_runs_of_a_worker_whose_entry_may_have_expired_stay_placed(
+    written: Option<MilliTime>,
+    age: u64,
+) {
+    assert!(starts_after_unlisting(written, age).starts.is_empty());
+}
+
+#[test]
+fn the_runs_of_a_draining_worker_that_leaves_start_elsewhere_at_once() {
+    let written = Some(MilliTime::new(100_000));
+    assert_eq!(starts_after_unlisting(written, 1_500).starts.len(), 1);
+}
