Count a start against its task only if a live worker got it

Cause: idle workers are not polled, so a crashed one looks vacant. The refused connection of a start counted as an unknown outcome, and, once the worker's next life appeared, as a loss of the task on a worker without other runs. Four losses gave the job up, whatever they proved.

Evidence: 'a job failed: one of its tasks crashes its workers' had crashes 0 and losses 4, after four losses with start=unanswered.

Why this works: an order for which no connection could be made has not left, so its task waits again at once, without a loss. The start of a suspected task leaves only once its worker has answered a poll; a loss without an answer counts only then, and for a new owner only if the record of crashes says that the start had reached its worker. Losses without proof count only if they follow the start at once.

--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -75,14 +75,19 @@
             let placement = self.jobs[*job].tasks[*index].placement;
             run.order_token.is_some() && placement == TaskPlacement::Placed(worker_key)
         });
-        let runs = sent.map(|((job, index), run)| LostRun {
-            job: *job,
-            index: *index,
-            loss: RunLoss {
-                is_crash,
-                is_sole: self.is_calm_for(*job, worker),
-                start: worker.start_status(run),
-            },
+        let runs = sent.map(|((job, index), run)| {
+            let start = worker.start_status(run);
+            // Nothing starts beside a suspect before its worker has answered the start.
+            let is_sole = start == StartStatus::Checked || self.is_calm_for(*job, worker);
+            LostRun {
+                job: *job,
+                index: *index,
+                loss: RunLoss {
+                    is_crash,
+                    is_sole,
+                    start,
+                },
+            }
         });
         runs.collect()
     }
@@ -211,6 +216,71 @@
         worker.update_apart_job();
     }
 
+    /// Keeps the start of a suspected task until its worker has answered the next poll.
+    /// Otherwise the crash of an idle worker, of which nothing is known yet, would count
+    /// against a task that never started there.
+    pub(super) fn hold_start(&mut self, job_key: JobKey, index: usize, worker_key: WorkerKey) {
+        let worker = &mut self.workers[worker_key];
+        let Some(placed) = worker.runs.get_mut(&(job_key, index)) else {
+            return;
+        };
+        if placed.held_since.is_none() {
+            placed.held_since = Some(self.now);
+            log::info!(
+                task:% = self.jobs[job_key].name_of(index),
+                run = placed.number,
+                worker:% = worker.report.id;
+                "cell: a start waits for an answer of its worker"
+            );
+        }
+        self.poll_soon(worker_key);
+    }
+
+    /// Sends the starts that have waited for an answer of a worker.
+    pub(super) fn send_held_starts(&mut self, worker_key: WorkerKey) {
+        for (job_key, index) in self.held_runs(worker_key) {
+            let run = self.jobs[job_key].tasks[index].run;
+            self.send_start(job_key, index, run, worker_key);
+        }
+    }
+
+    /// Requeues the runs whose starts have waited for an answer of a worker in vain.
+    pub(super) fn requeue_held(&mut self, worker_key: WorkerKey) {
+        for (job_key, index) in self.held_runs(worker_key) {
+            self.requeue_or_free(
+                job_key,
+                index,
+                worker_key,
+                "its worker does not answer, so its start was not sent",
+            );
+        }
+    }
+
+    /// Notes that the start of a suspected task has reached its worker, which was alive,
+    /// for this owner and the next one.
+    pub(super) fn note_start_reached(
+        &mut self,
+        (job_key, index): (JobKey, usize),
+        worker_key: WorkerKey,
+    ) {
+        let runs = &mut self.workers[worker_key].runs;
+        let Some(run) = runs.get_mut(&(job_key, index)).filter(|run| run.is_apart) else {
+            return;
+        };
+        run.has_reached_worker = true;
+        let job = &mut self.jobs[job_key];
+        job.tasks[index].crashes.reached_run = run.number;
+        job.crash_record = CrashRecord::Outdated;
+        self.dirty.insert(job_key);
+    }
+
+    fn held_runs(&self, worker_key: WorkerKey) -> Vec<(JobKey, usize)> {
+        let runs = self.workers[worker_key].runs.iter();
+        runs.filter(|(_, run)| run.held_since.is_some())
+            .map(|(task_ref, _)| *task_ref)
+            .collect()
+    }
+
     /// Returns whether a worker takes runs of a job: it takes runs at all, and no
     /// suspected task of another job is starting there.
     pub(super) fn takes_runs_of(&self, job_key: JobKey, worker: &WorkerState) -> bool {
--- a/crates/pimentochute-work/src/cell/orders.rs
+++ b/crates/pimentochute-work/src/cell/orders.rs
@@ -38,7 +38,7 @@
         };
         let needs_ticket = job.submission.terms.advice.is_some();
         let limit = self.start_delay.limit();
-        let worker = &mut self.workers[worker_key];
+        let worker = &self.workers[worker_key];
         if job.end.is_some()
             || !worker.takes_runs(now, limit)
             || (needs_ticket && ticket.is_empty())
@@ -46,6 +46,12 @@
             self.requeue_run(job_key, index, "its start is no longer possible");
             return;
         }
+        let placed = worker.runs.get(&(job_key, index));
+        if placed.is_some_and(|placed| placed.waits_for_answer(worker.answered_poll_sent_at, now)) {
+            self.hold_start(job_key, index, worker_key);
+            return;
+        }
+        let worker = &mut self.workers[worker_key];
         let Some(until) = worker.lease.extend(&self.policy.lease, now) else {
             self.requeue_run(job_key, index, "the clock of its worker is unknown");
             return;
@@ -57,6 +63,7 @@
         );
         if let Some(placed) = worker.runs.get_mut(&(job_key, index)) {
             placed.order_token = Some(token);
+            placed.held_since = None;
             placed.percent_at = now;
         }
         worker.open_starts.record_sent(now);
@@ -129,6 +136,7 @@
                     run.acknowledged_at = Some(now);
                     run.percent_at = now;
                     self.jobs[task_ref.0].has_started = true;
+                    self.note_start_reached(task_ref, command.worker);
                 }
             }
             Err(error) => self.start_failed(command, task_ref, error),
@@ -161,9 +169,13 @@
                     worker.lease.raise_token();
                     worker.lease.next_poll_at = now;
                 }
+                if let Some(task_ref) = task_ref {
+                    self.note_start_reached(task_ref, command.worker);
+                }
                 return;
             }
-            OrderError::WrongIncarnation
+            OrderError::Undelivered
+            | OrderError::WrongIncarnation
             | OrderError::Fenced
             | OrderError::TooLate
             | OrderError::InsufficientResources => {
@@ -185,7 +197,12 @@
             OrderError::OldRun => {}
         }
         if let Some((job, index)) = task_ref {
-            self.requeue_run(job, index, "its start was refused");
+            let reason = if error == OrderError::Undelivered {
+                "its start did not reach its worker"
+            } else {
+                "its start was refused"
+            };
+            self.requeue_run(job, index, reason);
         }
     }
 
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Makes the next poll of a worker due.
+    pub(super) fn poll_soon(&mut self, worker_key: WorkerKey) {
+        self.workers[worker_key].lease.next_poll_at = self.now;
+        self.polls.is_stale = true;
+    }
+
     fn send_poll(&mut self, worker_key: WorkerKey) {
         let may_extend = self.may_extend_leases();
         let (policy, now) = (self.policy, self.now);
@@ -116,6 +122,7 @@
                 worker.lease.failed_polls = 0;
                 worker.lease.next_poll_at = now + self.policy.poll.interval;
                 self.apply_listing(command, &listing);
+                self.send_held_starts(command.worker);
             }
             Err(error) => {
                 worker.lease.failed_polls += 1;
@@ -135,6 +142,7 @@
                     worker.lease.raise_token();
                 }
                 self.note_fenced(error, command.token, present);
+                self.requeue_held(command.worker);
             }
         }
         self.needs_placement = true;
--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -35,8 +35,10 @@
                 TaskPhase::Placed { worker, started_at } => {
                     let worker = self.worker_for(&worker, started_at);
                     let job = &self.jobs[key];
-                    let run = PlacedRun::restored(record.run, job.demand_of(index), self.now)
-                        .with_apart(job.tasks[index].crashes.is_suspect);
+                    let crashes = job.tasks[index].crashes;
+                    let mut run = PlacedRun::restored(record.run, job.demand_of(index), self.now)
+                        .with_apart(crashes.is_suspect);
+                    run.has_reached_worker = crashes.reached_run == record.run;
                     self.place_run(key, index, worker, run);
                 }
             }
--- a/crates/pimentochute-work/src/cell/runs.rs
+++ b/crates/pimentochute-work/src/cell/runs.rs
@@ -21,6 +21,10 @@
         job.tasks[index].run = run.number;
         let team = job.submission.team.clone();
         self.count_running(team.as_deref(), run.demand, true);
+        if run.is_apart && run.order_token.is_none() {
+            // The start waits for an answer, which shows that the worker is alive.
+            self.poll_soon(worker_key);
+        }
         if self.workers[worker_key]
             .add_run(job_key, index, run)
             .is_none()
--- a/crates/pimentochute-work/src/crash.rs
+++ b/crates/pimentochute-work/src/crash.rs
@@ -10,7 +10,7 @@
 pub(crate) const START_CRASH_WINDOW: MilliSpan = MilliSpan::new(100);
 
 /// With this many crashes, a task is given up if its job was the only suspect on the
-/// last worker and it had just started there.
+/// last worker, which had just answered its start.
 const MAX_START_CRASHES: u32 = 2;
 
 /// With this many crashes, a task is given up if its job was the only suspect on the
@@ -18,8 +18,8 @@
 const MAX_CRASHES: u32 = 3;
 
 /// A task is given up after this many losses, whether or not they are known to be
-/// crashes, of which [`MAX_SOLE_LOSSES`] hit a worker on which its job was the only
-/// suspect.
+/// crashes, of which [`MAX_SOLE_LOSSES`] followed the start of the task on a worker on
+/// which its job was the only suspect.
 const MAX_LOSSES: u32 = 4;
 
 /// See [`MAX_LOSSES`].
@@ -40,14 +40,18 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct CrashHistory {
     /// The workers that were lost: they crashed or could not be reached until their
-    /// lease had expired.
+    /// lease had expired. The task may not have started there.
     pub(crate) losses: u32,
     /// The losses that are known to be crashes after the start; at most `losses`.
     pub(crate) crashes: u32,
-    /// The losses of a worker on which no other job was suspect; at most `losses`.
+    /// The losses that followed the start of the task on a worker on which no other job
+    /// was suspect; at most `losses`.
     pub(crate) sole_losses: u32,
     /// The task has to start apart from other suspects.
     pub(crate) is_suspect: bool,
+    /// The last run that was started apart and has reached a worker that was alive; 0 if
+    /// there is none.
+    pub(crate) reached_run: u32,
 }
 
 /// The loss of a worker as it concerns one of its runs.
@@ -66,8 +70,11 @@
 pub(crate) enum StartStatus {
     /// An earlier owner has placed the run, and its worker has not answered since.
     Inherited,
-    /// The worker has not answered the start.
+    /// The worker has not answered the start, and may have crashed before it.
     Unanswered,
+    /// The worker has not answered this owner, but the start has reached it: it had
+    /// answered a poll shortly before, or it has answered an earlier owner.
+    Checked,
     /// The run had started within [`START_CRASH_WINDOW`] before the last answer of the
     /// worker, or later.
     Recent,
@@ -75,11 +82,32 @@
     Settled,
 }
 
+impl RunLoss {
+    /// Returns whether the run has started on the worker, or its start has at least
+    /// reached a live one.
+    const fn has_started(self) -> bool {
+        match self.start {
+            StartStatus::Inherited | StartStatus::Unanswered => false,
+            StartStatus::Checked | StartStatus::Recent | StartStatus::Settled => true,
+        }
+    }
+
+    /// Returns whether the worker is not known to have been lost by the start.
+    const fn is_settled(self) -> bool {
+        matches!(self.start, StartStatus::Inherited | StartStatus::Settled)
+    }
+
+    /// Returns whether the start of the run alone may have caused the loss.
+    const fn is_sole_start(self) -> bool {
+        self.is_sole && self.has_started() && !self.is_settled()
+    }
+}
+
 impl CrashHistory {
     /// Adds a loss. Returns whether the task has to be given up.
     pub(crate) fn add_loss(&mut self, loss: RunLoss) -> bool {
         self.losses += 1;
-        self.sole_losses += u32::from(loss.is_sole);
+        self.sole_losses += u32::from(loss.is_sole_start());
         self.add_evidence(loss)
     }
 
@@ -92,25 +120,20 @@
     /// Removes a loss, since the worker had only been out of reach.
     pub(crate) fn remove_loss(&mut self, loss: RunLoss) {
         self.losses = self.losses.saturating_sub(1);
-        self.sole_losses = self.sole_losses.saturating_sub(u32::from(loss.is_sole));
+        let sole_starts = u32::from(loss.is_sole_start());
+        self.sole_losses = self.sole_losses.saturating_sub(sole_starts);
         self.is_suspect &= self.losses > 0;
     }
 
     fn add_evidence(&mut self, loss: RunLoss) -> bool {
-        let (has_started, is_settled) = match loss.start {
-            StartStatus::Inherited => (false, true),
-            StartStatus::Unanswered => (false, false),
-            StartStatus::Recent => (true, false),
-            StartStatus::Settled => (true, true),
-        };
+        let (has_started, is_settled) = (loss.has_started(), loss.is_settled());
         self.crashes += u32::from(loss.is_crash && has_started);
         self.is_suspect |= loss.is_crash && !is_settled
             || self.crashes >= SUSPECT_CRASHES
             || self.losses >= SUSPECT_LOSSES;
-        let limit = if is_settled {
-            MAX_CRASHES
-        } else {
-            MAX_START_CRASHES
+        let limit = match loss.start {
+            StartStatus::Recent => MAX_START_CRASHES,
+            _ => MAX_CRASHES,
         };
         loss.is_crash && has_started && loss.is_sole && self.crashes >= limit
             || self.losses >= MAX_LOSSES && self.sole_losses >= MAX_SOLE_LOSSES
@@ -131,6 +154,7 @@
             crashes: self.crashes,
             sole_losses: self.sole_losses,
             is_suspect: self.is_suspect,
+            reached_run: self.reached_run,
         })
     }
 }
@@ -142,6 +166,7 @@
             crashes: record.crashes,
             sole_losses: record.sole_losses,
             is_suspect: record.is_suspect,
+            reached_run: record.reached_run,
         }
     }
 }
--- a/crates/pimentochute-work/src/effect.rs
+++ b/crates/pimentochute-work/src/effect.rs
@@ -155,6 +155,10 @@
     /// The worker rejects the order as malformed.
     #[display("the worker rejects the order as invalid")]
     Invalid,
+    /// No connection to the worker was made, so the order did not leave.
+    #[display("the order did not reach the worker")]
+    #[strum(to_string = "not_delivered")]
+    Undelivered,
     /// There was no valid answer in time. The order may have been carried out, or
     /// may still be.
     #[display("the outcome of the order is unknown: no valid answer from the worker")]
--- a/crates/pimentochute-work/src/record.rs
+++ b/crates/pimentochute-work/src/record.rs
@@ -90,6 +90,11 @@
     pub sole_losses: u32,
     /// The task has to start apart from other suspects.
     pub is_suspect: bool,
+    /// The last run that was started apart and has reached a worker that was alive; 0 if
+    /// there is none. Owners that do not know the field take the record for invalid, so
+    /// it is left out where it says nothing.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub reached_run: u32,
 }
 
 /// Whether a task waits, is placed on a worker or is done.
@@ -139,6 +144,14 @@
     },
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 impl QueueTerms {
     /// Returns the cost of advice; `None` if all workers may run the tasks.
     #[must_use]
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -11,6 +11,10 @@
 /// others.
 const INHERITED_TOKEN: u64 = 0;
 
+/// The start of a suspected task leaves at once if its worker has answered a poll that was
+/// sent at most this long ago.
+const MAX_ANSWER_AGE: MilliSpan = MilliSpan::new(50);
+
 /// The state of a worker, as the owner knows it.
 #[derive(Debug)]
 pub(crate) struct WorkerState {
@@ -168,7 +172,13 @@
     /// When `percent` last changed, on the cell's clock.
     pub(crate) percent_at: MilliTime,
     /// The task is suspected of crashing its workers, so that nothing starts beside it.
+    /// Its start leaves only once the worker has answered a poll.
     pub(crate) is_apart: bool,
+    /// The placement is in the log, and the start waits since this time, on the cell's
+    /// clock, for the answer to a later poll.
+    pub(crate) held_since: Option<MilliTime>,
+    /// The task is suspected, and its start has reached a worker that was alive.
+    pub(crate) has_reached_worker: bool,
 }
 
 /// The lease, the fencing token, control and the poll state of a worker.
@@ -259,11 +269,13 @@
     }
 
     /// Returns whether the worker has to be polled: the owner lacks control, the
-    /// worker still has to be told that ends are recorded, or it may have runs.
+    /// worker still has to be told that ends are recorded, it may have runs, or a
+    /// suspected task is to start there.
     pub(crate) fn needs_polling(&self) -> bool {
         !self.is_replaced
             && (!self.lease.has_control
                 || self.last_recorded_end < self.applied_end
+                || self.apart_job.is_some()
                 || self.runs.values().any(|run| run.order_token.is_some()))
     }
 
@@ -304,6 +316,7 @@
     /// Returns how far the start of a run has come, as far as the worker has answered.
     pub(crate) fn start_status(&self, run: &PlacedRun) -> StartStatus {
         match run.acknowledged_at {
+            None if run.has_reached_worker => StartStatus::Checked,
             None if run.order_token == Some(INHERITED_TOKEN) => StartStatus::Inherited,
             None => StartStatus::Unanswered,
             Some(at) if self.last_answer_at.since(at) < START_CRASH_WINDOW => StartStatus::Recent,
@@ -382,9 +395,21 @@
             percent: 0,
             percent_at: now,
             is_apart: false,
+            held_since: None,
+            has_reached_worker: false,
         }
     }
 
+    /// Returns whether the start has to wait until the worker has answered a poll; the
+    /// last one that was answered was sent at `answered_poll`.
+    pub(crate) fn waits_for_answer(&self, answered_poll: MilliTime, now: MilliTime) -> bool {
+        let is_recent = match self.held_since {
+            Some(since) => answered_poll >= since,
+            None => now.since(answered_poll) <= MAX_ANSWER_AGE,
+        };
+        self.is_apart && !is_recent
+    }
+
     /// Returns the run with another value of `is_apart`.
     pub(crate) const fn with_apart(mut self, is_apart: bool) -> Self {
         self.is_apart = is_apart;
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -53,6 +53,39 @@
     assert_eq!(again[0].run, start.run + 1);
 }
 
+/// Guards against a task that waits for the end of a lease although its start reached
+/// nobody.
+#[test]
+fn a_start_that_did_not_reach_its_worker_leaves_for_another_at_once() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 4_000);
+    let starts = started(&mut test, 1, 1).starts;
+    let undelivered = Err(OrderError::Undelivered);
+    test.cell.start_answered(&starts[0], undelivered);
+    test.run_due_work();
+    let again = test.record().starts;
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].worker, starts[0].worker);
+    assert_eq!(again[0].run, starts[0].run + 1);
+}
+
+/// Guards against further starts on a worker that refuses connections, before it has
+/// answered again.
+#[test]
+fn a_worker_that_a_start_did_not_reach_gets_no_run_before_a_poll() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    let starts = started(&mut test, 1, 1).starts;
+    let undelivered = Err(OrderError::Undelivered);
+    test.cell.start_answered(&starts[0], undelivered);
+    let poll = test.run_due_work().polls.remove(0);
+    assert!(poll.token > starts[0].token);
+    assert!(test.record().starts.is_empty());
+    test.answer_poll(&poll, WorkerListing::default());
+    test.run_due_work();
+    assert_eq!(test.record().starts.len(), 1);
+}
+
 /// An owner that was suspended and replaced must stop.
 #[test]
 fn a_refusal_with_the_present_token_supersedes_the_owner() {
