Let an odd entry of the list of workers cost nothing but itself

Other operators reported that one odd entry among those of the workers ended the machines that read the list, or kept them from following it.

Here, deep nesting and numbers that no type holds cost a line only. But an entry with an impossible port or key was polled for good; a capacity near the largest number made the sums over all workers wrap around; a start in the future at the address of a worker replaced it for good; an unreadable entry counted as removed when the complete list was read; and a key that is no part of a URL at the end of a page kept every owner from loading the list.

Cause: values were checked for their type only, and keys were taken for our own.

Evidence: odd_entries_among_those_of_the_workers_cost_nothing_else failed on ('timed out: the job is completed': no worker was left), and so did ten cases of worker_report_with_an_impossible_value_is_an_error and worker_report_whose_key_cannot_be_sent_is_an_error.

--- a/crates/pimentochute-base/src/resources.rs
+++ b/crates/pimentochute-base/src/resources.rs
@@ -1,24 +1,13 @@
 //! Amounts of resources, as workers have them and tasks demand them.
 
-use derive_more::{Add, AddAssign, Display, Sum};
+use std::iter::Sum;
+use std::ops::{Add, AddAssign};
+
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// An amount of processor time, memory and accelerators.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    Add,
-    AddAssign,
-    Sum,
-    Display,
-    Serialize,
-    Deserialize,
-)]
+/// An amount of processor time, memory and accelerators. Sums saturate.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 #[display("{cpu_millis} mCPU, {memory_mib} MiB, {accelerators} accelerators")]
 #[serde(deny_unknown_fields)]
 pub struct ResourceAmount {
@@ -100,3 +89,27 @@
         .unwrap_or(0)
     }
 }
+
+impl Add for ResourceAmount {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
+impl AddAssign for ResourceAmount {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sum for ResourceAmount {
+    fn sum<I: Iterator<Item = Self>>(amounts: I) -> Self {
+        amounts.fold(Self::ZERO, Add::add)
+    }
+}
--- a/crates/pimentochute-edge/src/owner.rs
+++ b/crates/pimentochute-edge/src/owner.rs
@@ -9,6 +9,6 @@
 mod run;
 mod term;
 
-pub(crate) use local_owner::{CellInput, JobCall, LocalOwner};
+pub(crate) use local_owner::{CellInput, EntryChange, JobCall, LocalOwner};
 pub(crate) use mirror::JobMirror;
 pub(crate) use run::CellOwner;
--- a/crates/pimentochute-edge/src/owner/load.rs
+++ b/crates/pimentochute-edge/src/owner/load.rs
@@ -145,17 +145,18 @@
 ) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
     let mut records: Vec<KeyedRecord> = Vec::new();
     let mut end = None;
+    let mut after: Option<String> = None;
     loop {
-        let after = records.last().map(|record| record.key.clone());
         let page = context.ports.store.newest(topic, after.as_deref()).await?;
         // The pages are not a snapshot, so reading continues from the end as of
         // the first page; later changes are read again.
         let end = *end.get_or_insert(page.end);
-        let is_last = !page.has_more || page.records.is_empty();
+        let is_last = !page.has_more || page.last_key.is_none();
         records.extend(page.records);
         if is_last {
             return Ok((records, end));
         }
+        after = page.last_key;
     }
 }
 
--- a/crates/pimentochute-edge/src/owner/local_owner.rs
+++ b/crates/pimentochute-edge/src/owner/local_owner.rs
@@ -24,18 +24,28 @@
     inputs: Option<mpsc::Sender<CellInput>>,
 }
 
+/// How an entry of the platform's list of workers has changed.
+pub(crate) enum EntryChange {
+    /// The worker has written it.
+    Reported(WorkerReport),
+    /// It was removed.
+    Removed,
+    /// It cannot be read, and changes nothing.
+    Unreadable,
+}
+
 /// An input of the owner: a request, or records that were read from the log.
 pub(crate) enum CellInput {
     /// Jobs that hosts appended to the intake topic because no owner had accepted
     /// them, in the order of the log.
     FromIntake(Vec<(JobCode, JobSubmission)>),
-    /// The workers' reports, by the identifier of the worker.
+    /// The entries of the platform's list of workers, in the order of the log.
     Workers {
-        /// `None` for a worker that was removed from the list.
-        reports: Vec<(String, Option<WorkerReport>)>,
-        /// Workers that are missing in the reports no longer exist.
+        /// The changed entries, by the identifier of the worker.
+        entries: Vec<(String, EntryChange)>,
+        /// Workers without an entry no longer exist.
         is_complete: bool,
-        /// The reports were written at this time or later, on the host's clock; `None`
+        /// The entries were written at this time or later, on the host's clock; `None`
         /// if that is not known.
         written_after: Option<MilliTime>,
     },
--- a/crates/pimentochute-edge/src/owner/readers.rs
+++ b/crates/pimentochute-edge/src/owner/readers.rs
@@ -7,10 +7,10 @@
 use tokio::sync::mpsc;
 
 use super::load::{self, LoadedOffsets};
-use super::{CellInput, CellOwner};
+use super::{CellInput, CellOwner, EntryChange};
 use crate::intake::INTAKE_TOPIC;
 use crate::outage_log::OutageLog;
-use crate::{StoreError, TopicPage};
+use crate::{KeyedRecord, StoreError, TopicPage};
 
 /// How long a read blocks until there are jobs.
 const INTAKE_WAIT: MilliSpan = MilliSpan::new(3_000);
@@ -106,16 +106,12 @@
                     from = page.next;
                     let is_last = page.is_last();
                     outage.record_success();
-                    let reports = page.records.iter().filter_map(|record| {
-                        if record.value.is_empty() {
-                            return Some((record.key.clone(), None));
-                        }
-                        let report = load::worker_of(&self.context, record)?;
-                        Some((record.key.clone(), Some(report)))
+                    let entries = page.records.iter().map(|record| {
+                        let change = self.entry_change(record);
+                        (record.key.clone(), change)
                     });
-                    let reports = reports.collect();
                     let input = CellInput::Workers {
-                        reports,
+                        entries: entries.collect(),
                         is_complete,
                         // A list of the newest entries also has those from before.
                         written_after: (!is_complete).then_some(written_after),
@@ -135,4 +131,11 @@
             }
         }
     }
+    fn entry_change(&self, record: &KeyedRecord) -> EntryChange {
+        if record.value.is_empty() {
+            return EntryChange::Removed;
+        }
+        let report = load::worker_of(&self.context, record);
+        report.map_or(EntryChange::Unreadable, EntryChange::Reported)
+    }
 }
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -15,7 +15,7 @@
 
 use super::batch::BatchWriter;
 use super::load;
-use super::{CellInput, CellOwner, JobCall};
+use super::{CellInput, CellOwner, EntryChange, JobCall};
 use crate::context::EdgeContext;
 use crate::heartbeat::OwnerHeartbeat;
 use crate::intake::INTAKE_TOPIC;
@@ -167,21 +167,22 @@
                 }
             }
             CellInput::Workers {
-                reports,
+                entries,
                 is_complete,
                 written_after,
             } => {
                 if is_complete {
-                    let ids = reports.iter().map(|(id, _)| id.clone()).collect();
+                    let ids = entries.iter().map(|(id, _)| id.clone()).collect();
                     self.cell.unlist_workers_except(&ids);
                 }
-                for (id, report) in reports {
-                    match (report, written_after) {
-                        (Some(report), Some(written_after)) => {
+                for (id, change) in entries {
+                    match (change, written_after) {
+                        (EntryChange::Reported(report), Some(written_after)) => {
                             self.cell.worker_reported_after(report, written_after);
                         }
-                        (Some(report), None) => self.cell.worker_reported(report),
-                        (None, _) => self.cell.worker_unlisted(&id),
+                        (EntryChange::Reported(report), None) => self.cell.worker_reported(report),
+                        (EntryChange::Removed, _) => self.cell.worker_unlisted(&id),
+                        (EntryChange::Unreadable, _) => {}
                     }
                 }
             }
--- a/crates/pimentochute-edge/src/ports.rs
+++ b/crates/pimentochute-edge/src/ports.rs
@@ -177,8 +177,11 @@
 /// snapshot: records may be appended between two reads.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NewestPage {
-    /// The records, in the order of their keys.
+    /// The records that can be decoded, in the order of their keys.
     pub records: Vec<KeyedRecord>,
+    /// The last key of the page, whether or not its record can be decoded; `None` if the
+    /// page is empty.
+    pub last_key: Option<String>,
     /// There are more keys after those of the page.
     pub has_more: bool,
     /// The offset after the last record of the topic.
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -7,6 +7,10 @@
 
 use super::WorkCell;
 
+/// An entry whose start lies further in the future than this is invalid. Otherwise it
+/// would replace the worker at its address for good. The span covers clocks that jump.
+const MAX_START_AHEAD: MilliSpan = MilliSpan::new(24 * 3_600_000);
+
 impl WorkCell {
     /// Applies a worker's entry in the platform's list, of which it is not known when it
     /// was written.
@@ -21,6 +25,15 @@
     }
 
     fn apply_report(&mut self, report: WorkerReport, written_after: Option<MilliTime>) {
+        if report.started_at > self.unix_now + MAX_START_AHEAD {
+            log::warn!(
+                worker:% = report.id,
+                address:% = report.address,
+                started_at:% = report.started_at;
+                "cell: an entry is ignored: its start lies in the future"
+            );
+            return;
+        }
         let Some(key) = self.worker_keys.get(&report.id).copied() else {
             log::info!(
                 worker:% = report.id, pool:% = report.pool, address:% = report.address;
--- a/tests/src/edge_platform.rs
+++ b/tests/src/edge_platform.rs
@@ -147,6 +147,15 @@
         self.state().topic("keyed.intake").push(record);
     }
 
+    /// Writes any record, like another writer.
+    pub fn write_record(&self, topic: &str, key: &str, value: &[u8]) {
+        let record = KeyedRecord {
+            key: key.to_owned(),
+            value: Bytes::copy_from_slice(value),
+        };
+        self.state().topic(topic).push(record);
+    }
+
     /// Writes a version of the configuration like an operator.
     pub fn write_config(&self, json: &str) {
         let record = KeyedRecord {
@@ -387,8 +396,10 @@
         let kept = newest
             .into_values()
             .filter(|record| !record.value.is_empty());
+        let records: Vec<_> = kept.collect();
         Ok(NewestPage {
-            records: kept.collect(),
+            last_key: records.last().map(|record| record.key.clone()),
+            records,
             has_more: false,
             end,
         })
--- a/tests/tests/adapter_codec.rs
+++ b/tests/tests/adapter_codec.rs
@@ -61,6 +61,46 @@
     assert!(JsonCodec.worker("i-1", bytes).is_err());
 }
 
+const WORKER: &str = r#"{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":16000,"mem-mb":64000,"gpu":2},"labels":["a","r1"],"clock-ms":5,"born":1700000000000}"#;
+
+/// Guards against an entry of another writer that is taken for a worker: it gets polls
+/// that cannot be sent, or runs, or the sums over all workers overflow.
+#[test_case("10.0.0.1:80", "10.0.0.1:65536"; "port out of range")]
+#[test_case("10.0.0.1:80", "10.0.0.1:0"; "port zero")]
+#[test_case("10.0.0.1:80", "10.0.0.1"; "no port")]
+#[test_case("10.0.0.1:80", "here:80"; "no address")]
+#[test_case("16000", "18446744073709551615"; "largest number")]
+#[test_case("16000", "18446744073709551616"; "number too large")]
+#[test_case("64000", "1e400"; "number without end")]
+#[test_case("64000", "9000000000000"; "more memory than any worker has")]
+#[test_case("\"gpu\":2", "\"gpu\":-2"; "negative")]
+#[test_case("1700000000000", "18446744073709551615"; "start too far in the future")]
+#[test_case("\"clock-ms\":5", "\"clock-ms\":18446744073709551615"; "clock too large")]
+fn worker_report_with_an_impossible_value_is_an_error(part: &str, wrong: &str) {
+    assert!(JsonCodec.worker("i-1", WORKER.as_bytes()).is_ok());
+    let text = WORKER.replace(part, wrong);
+    assert!(JsonCodec.worker("i-1", text.as_bytes()).is_err(), "{text}");
+}
+
+#[test_case(""; "empty")]
+#[test_case("i-1\r\nx: y"; "line break")]
+fn worker_report_whose_key_cannot_be_sent_is_an_error(id: &str) {
+    assert!(JsonCodec.worker(id, WORKER.as_bytes()).is_err());
+}
+
+/// Guards against a decoder that ends the process for a field that it does not read.
+#[test]
+fn deeply_nested_entries_do_not_exhaust_the_stack() {
+    let depth = 100_000;
+    let nested = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let unknown = WORKER.replace("\"born\"", &format!("\"x\":{nested},\"born\""));
+    assert!(JsonCodec.worker("i-1", unknown.as_bytes()).is_ok());
+    let labels = WORKER.replace("[\"a\",\"r1\"]", &nested);
+    assert!(JsonCodec.worker("i-1", labels.as_bytes()).is_err());
+    assert!(JsonCodec.config(nested.as_bytes()).is_err());
+    assert!(JsonCodec.job(nested.as_bytes()).is_err());
+}
+
 #[test]
 fn job_is_decoded() {
     let bytes = br#"{"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"mem-mb":1024,"estimate-ms":7000,"after":[0],"checkpoints":true,"gang":true}]}"#;
--- a/tests/tests/adapter_store.rs
+++ b/tests/tests/adapter_store.rs
@@ -179,3 +179,18 @@
     assert_eq!((page.records.len(), page.next), (1, 41));
     assert_eq!(page.is_last(), is_last);
 }
+
+/// Guards against a list that cannot be read past a page: its last key belongs to an entry
+/// that cannot be decoded, and is no part of a URL as it is.
+#[tokio::test]
+async fn a_page_that_ends_with_an_odd_entry_can_be_continued() {
+    let body = r#"{"items":[{"key":"a","value":"dg=="},{"key":"b c&x","value":"?"}],"has-more":true,"end-offset":2}"#;
+    let (store, _server) = store(http_response("200 OK", body.as_bytes()), RawEnd::Close).await;
+    let page = store.newest("keyed.servers", None).await.expect("a page");
+    assert_eq!(page.records.len(), 1);
+    assert_eq!(page.last_key.as_deref(), Some("b c&x"));
+    let next = store
+        .newest("keyed.servers", page.last_key.as_deref())
+        .await;
+    next.expect("the key can be sent");
+}
--- a/tests/tests/base.rs
+++ b/tests/tests/base.rs
@@ -75,3 +75,11 @@
         assert!(before == Some("h3") || before == after);
     }
 }
+
+/// Guards against a sum that wraps around because of one impossible amount.
+#[test]
+fn sums_of_resources_saturate() {
+    let largest = ResourceAmount::new(u64::MAX, u64::MAX).with_accelerators(u64::MAX);
+    let sum: ResourceAmount = [largest, ResourceAmount::new(1, 1)].into_iter().sum();
+    assert_eq!(sum, largest);
+}
--- a/tests/tests/edge_workers.rs
+++ b/tests/tests/edge_workers.rs
@@ -24,8 +24,8 @@
 /// The time in which a task that is taken for lost would start again.
 const RESTART_TIME: Duration = Duration::from_secs(2);
 
-/// Starts the hosts and a job, and waits until its tasks run.
-async fn running_job(platform: &EdgePlatform) -> EdgeCell {
+/// Starts the hosts and waits until one owns the cell.
+async fn start_cell(platform: &EdgePlatform) -> EdgeCell {
     if std::env::var_os("TEST_LOG").is_some() {
         let dispatch = log_dispatch(LoggingSettings::default(), &MilliClock::system());
         drop(dispatch.chain(std::io::stdout()).apply());
@@ -36,9 +36,30 @@
         until("the hosts are ready", async || cell.is_ready(index).await).await;
     }
     until("a host owns the cell", async || cell.owner().is_some()).await;
-    let path = format!("/q/{:016x}", 1);
-    let reply = cell.call(0, Method::POST, &path, "secret", JOB).await;
+    cell
+}
+
+async fn submit(cell: &EdgeCell, host: usize, job: u64) {
+    let path = format!("/q/{job:016x}");
+    let reply = cell.call(host, Method::POST, &path, "secret", JOB).await;
     assert_eq!(reply.status, 200, "{reply:?}");
+}
+
+/// Submits a job and waits until it is completed.
+async fn complete_job(cell: &EdgeCell, host: usize, job: u64) {
+    submit(cell, host, job).await;
+    let path = format!("/q/{job:016x}");
+    until("the job is completed", async || {
+        let reply = cell.call(host, Method::GET, &path, "secret", "").await;
+        reply.status == 200 && reply.body.contains("completed")
+    })
+    .await;
+}
+
+/// Starts the hosts and a job, and waits until its tasks run.
+async fn running_job(platform: &EdgePlatform) -> EdgeCell {
+    let cell = start_cell(platform).await;
+    submit(&cell, 0, 1).await;
     until("the tasks run", async || platform.start_counts().len() == 2).await;
     // The owner has read the entries of all workers, and polls those that run tasks.
     tokio::time::sleep(Duration::from_millis(500)).await;
@@ -119,6 +140,53 @@
     assert_eq!(most_starts(&platform), 1, "a task runs twice");
 }
 
+/// Returns the text of a worker's entry.
+fn entry(address: &str, cpu: &str, started_at: &str) -> String {
+    format!(
+        r#"{{"service":"pool","address":"{address}","zone":"dc","state":"ready","capacity":{{"cpu":{cpu},"mem-mb":{cpu}}},"born":{started_at}}}"#
+    )
+}
+
+/// Guards against hosts that end, or stop following the list, because of an entry that
+/// another writer left among those of the workers.
+#[tokio::test]
+async fn odd_entries_among_those_of_the_workers_cost_nothing_else() {
+    let platform = EdgePlatform::new(WORKERS, MilliSpan::new(300));
+    let largest = u64::MAX.to_string();
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    // The years 2096 and 31690; the platform's workers have ports from 1 on.
+    let odd = [
+        ("w0", entry("127.0.0.1:99999", "8000", "0")),
+        ("w0 0&x=", entry("127.0.0.1:5", &largest, "0")),
+        ("w00\u{e9}", entry("127.0.0.1:6", &largest, "0")),
+        ("x1", entry("127.0.0.1:1", "8000", &largest)),
+        ("x2", entry("127.0.0.1:2", "8000", "4000000000000")),
+        ("x3", entry("127.0.0.1:3", "8000", "937915200000000")),
+        ("x4", entry("127.0.0.1:4", "8000", "4000000000000")),
+        ("x5", entry("127.0.0.1:4", "8000", "1e400")),
+        ("x6", nested),
+        ("x7", "{".to_owned()),
+        ("w000", "{".to_owned()),
+    ];
+    let write_odd = || {
+        for (key, value) in &odd {
+            platform.write_record("keyed.servers", key, value.as_bytes());
+        }
+    };
+    let mut cell = start_cell(&platform).await;
+    write_odd();
+    complete_job(&cell, 0, 1).await;
+    let owner = cell.owner().expect("the cell has an owner");
+    cell.kill(owner);
+    until("another host owns the cell", async || {
+        cell.owner().is_some_and(|next| next != owner)
+    })
+    .await;
+    write_odd();
+    complete_job(&cell, (owner + 1) % HOSTS, 2).await;
+    assert_eq!(most_starts(&platform), 1, "a task runs twice");
+}
+
 /// Guards against tasks that wait for the end of a lease although their worker has
 /// reported that it drains, and has left.
 #[tokio::test]
