Check the jobs that an owner reads from the log

An invalid job in the log, left by another writer, ended the term of each owner that read it: a step that depends on one that does not exist made the owner panic (job.rs:268), again at each takeover, so that no job ran any more.

Cause: hosts check the jobs that they accept; owners took those of the log for checked.

Evidence: odd_records_among_those_of_the_jobs_cost_nothing_else failed before ('timed out: the job is completed', seven panics in ten seconds).

Why this works: a submission that fails the check of JobSpec is left out with a line, as one that cannot be decoded.

--- a/crates/pimentochute-edge/src/owner/load.rs
+++ b/crates/pimentochute-edge/src/owner/load.rs
@@ -162,7 +162,14 @@
 
 /// Decodes a submission; `None` if the record deletes it or is invalid.
 pub(super) fn submission_of(record: &KeyedRecord) -> Option<(JobCode, JobSubmission)> {
-    Some((code_of(record)?, read_value(record)?))
+    let (code, submission) = (code_of(record)?, read_value::<JobSubmission>(record)?);
+    // Another writer may have left the record; hosts check the jobs that they accept.
+    submission
+        .spec
+        .check()
+        .inspect_err(|error| log::error!("owner: the job {code} in the log is invalid: {error}"))
+        .ok()?;
+    Some((code, submission))
 }
 
 fn progress_of(record: &KeyedRecord) -> Option<(JobCode, JobProgress)> {
--- a/tests/tests/edge_workers.rs
+++ b/tests/tests/edge_workers.rs
@@ -8,6 +8,7 @@
 use pimentochute_server::log_dispatch;
 use pimentochute_server::settings::LoggingSettings;
 use pimentochute_tests::{EdgeCell, EdgePlatform, StoreFault};
+use pimentochute_work::{JobSubmission, decode_record, encode_record};
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r","host":"jobs.example","path-prefix":"/q/","service":"pool","max-attempts":2,"stretch":2.0,"target-latency-ms":1000}],"services":[{"name":"pool"}],"tenants":[{"name":"t","api-keys":["secret"],"weight":100}]}"#;
 const JOB: &str =
@@ -187,6 +188,27 @@
     assert_eq!(most_starts(&platform), 1, "a task runs twice");
 }
 
+/// Guards against owners that end, one after the other, because of a job in the log that
+/// no host would have accepted.
+#[tokio::test]
+async fn odd_records_among_those_of_the_jobs_cost_nothing_else() {
+    let platform = EdgePlatform::new(WORKERS, MilliSpan::new(300));
+    let cell = start_cell(&platform).await;
+    let valid = cell.encoded_submission(JOB);
+    let mut submission: JobSubmission = decode_record(&valid).expect("decodes");
+    submission.spec.steps[0].after.push(7);
+    let later_step = encode_record(&submission).expect("encodes");
+    submission.spec.steps.clear();
+    let no_step = encode_record(&submission).expect("encodes");
+    for (job, odd) in [later_step, no_step, b"x".to_vec()].iter().enumerate() {
+        platform.append_job(odd, 100 + job as u64);
+    }
+    platform.write_record("keyed.intake", "no job identifier", &valid);
+    platform.write_record("keyed.progress", "0000000000000009", b"x");
+    platform.write_record("keyed.progress", "0000000000000009.c", b"x");
+    complete_job(&cell, 0, 1).await;
+}
+
 /// Guards against tasks that wait for the end of a lease although their worker has
 /// reported that it drains, and has left.
 #[tokio::test]
