Follow the host list although one of its entries is invalid

With serve, one invalid entry of the host list (a port out of range, a number too large, an unknown status) made the whole list invalid: no host followed it any more, for as long as the entry stood there.

Cause: the list was decoded as a whole, since a host whose entry is left out would seem to have left.

Evidence: decode_hosts failed for each case of an_odd_entry_of_the_host_list_costs_only_itself.

Why this works: entries are decoded one by one, and a host whose entry cannot be decoded keeps its last valid one. A list without any valid entry is still an error, so that malformed_host_list_is_an_error holds unchanged.

--- a/crates/pimentochute-platform/src/http_directory.rs
+++ b/crates/pimentochute-platform/src/http_directory.rs
@@ -1,5 +1,7 @@
 //! The host list client over HTTP.
 
+use std::sync::{Arc, Mutex, PoisonError};
+
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::uri::Authority;
@@ -7,7 +9,7 @@
 use pimentochute_base::MilliSpan;
 
 use crate::http_client::{HttpCall, HttpClient};
-use crate::wire::decode_hosts;
+use crate::wire::{HostMemory, decode_hosts};
 use crate::{DirectoryError, HostDirectory, HostEntry};
 
 /// The default timeout of a call; the list is polled every second.
@@ -22,6 +24,7 @@
 pub struct HttpDirectory {
     client: HttpClient,
     authority: Authority,
+    memory: Arc<Mutex<HostMemory>>,
 }
 
 impl HttpDirectory {
@@ -31,6 +34,7 @@
         Self {
             client: HttpClient::new(DIRECTORY_TIMEOUT, MAX_ANSWER_BYTES),
             authority,
+            memory: Arc::default(),
         }
     }
 
@@ -61,7 +65,10 @@
         if reply.status != StatusCode::OK {
             return Err(directory_error(&reply.into_error()));
         }
-        decode_hosts(&reply.body).map_err(|error| directory_error(&error))
+        let listing = decode_hosts(&reply.body).map_err(|error| directory_error(&error))?;
+        // Poisoning is ignored: after a panic the memory lacks entries at most.
+        let mut memory = self.memory.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(memory.complete(listing))
     }
 }
 
--- a/crates/pimentochute-platform/src/wire.rs
+++ b/crates/pimentochute-platform/src/wire.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-pub use host_list::decode_hosts;
+pub use host_list::{HostListing, HostMemory, UnreadableEntry, decode_hosts};
 pub use log::{
     AppendReply, AppendRequest, GoneReply, ReadReply, ReplyRecord, decode_append, decode_gone,
     decode_read,
--- a/tests/tests/platform_wire.rs
+++ b/tests/tests/platform_wire.rs
@@ -2,15 +2,16 @@
 
 use pimentochute_base::LogOffset;
 use pimentochute_platform::wire::{
-    AcquireRequest, ForgetRequest, ReadReply, ReleaseRequest, RenewRequest, ReplyRecord,
-    StartRequest, StopRequest, WireError, decode_append, decode_gone, decode_hosts, decode_json,
-    decode_read, decode_refusal,
+    AcquireRequest, ForgetRequest, HostMemory, ReadReply, ReleaseRequest, RenewRequest,
+    ReplyRecord, StartRequest, StopRequest, WireError, decode_append, decode_gone, decode_hosts,
+    decode_json, decode_read, decode_refusal,
 };
 use pimentochute_platform::{ControlGrant, EndpointDialer, EndpointRequest, HttpEndpointDialer};
 use pimentochute_standins::{FaultSet, TaskCommand, parse_sleep};
 use pimentochute_tests::{RawEnd, RawServer};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use test_case::test_case;
 
 fn config(cases: u32) -> ProptestConfig {
     ProptestConfig {
@@ -129,3 +130,34 @@
         prop_assert!(!answered);
     }
 }
+
+const HOSTS: &str = r#"[{"name":"w","role":"worker","data_centre":"n","address":"127.0.0.1:1","status":"live"},{"name":"x","role":"worker","data_centre":"n","address":"127.0.0.1:2","status":"live"}]"#;
+
+/// Guards against a host list that is no longer followed because of one entry.
+#[test_case(r#""127.0.0.1:2""#, r#""127.0.0.1:65536""#; "port out of range")]
+#[test_case(r#""status":"live"}]"#, r#""status":"live","slots":1e400}]"#; "number too large")]
+#[test_case(r#""status":"live"}]"#, r#""status":"gone"}]"#; "unknown status")]
+#[test_case(r#""127.0.0.1:2""#, "NESTED"; "deep nesting")]
+fn an_odd_entry_of_the_host_list_costs_only_itself(part: &str, odd: &str) {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let text = HOSTS.replace(part, odd).replace("NESTED", &nested);
+    assert_ne!(text, HOSTS);
+    let listing = decode_hosts(text.as_bytes()).expect("a list");
+    assert_eq!(listing.hosts.len(), 1);
+    assert_eq!(listing.hosts[0].name, "w");
+    assert_eq!(listing.unreadable[0].name.as_deref(), Some("x"));
+    // A new host whose entry cannot be read is not used, and a known one has not left.
+    assert_eq!(HostMemory::default().complete(listing.clone()).len(), 1);
+    let mut memory = HostMemory::default();
+    let valid = memory.complete(decode_hosts(HOSTS.as_bytes()).expect("a list"));
+    for _ in 0..2 {
+        assert_eq!(memory.complete(listing.clone()), valid);
+    }
+    let left = decode_hosts(b"[]").expect("a list");
+    assert_eq!(memory.complete(left), []);
+    assert_eq!(
+        memory.complete(listing).len(),
+        1,
+        "the host had left before"
+    );
+}
