Let an unreadable row of an answer cost nothing but itself

One row that cannot be decoded, in a worker's lists of runs, in the members of the group, in a page of the newest records or in an answer with advice, made the whole answer invalid: the worker was lost after its lease, or the list was no longer read.

Cause: answers were decoded as a whole.

Why this works: rows are decoded one by one. A listing of a worker with an unreadable row proves no run absent, and its ends are applied but not acknowledged, so that none is forgotten unread.

--- a/crates/pimentochute-measure/src/cell_cost/simulation.rs
+++ b/crates/pimentochute-measure/src/cell_cost/simulation.rs
@@ -209,6 +209,7 @@
                     clock,
                     running: running.collect(),
                     ended: worker.ended.clone(),
+                    unreadable_rows: 0,
                 };
                 self.cell.poll_answered(&command, Ok(listing));
             }
--- a/crates/pimentochute-work/src/cell/ends.rs
+++ b/crates/pimentochute-work/src/cell/ends.rs
@@ -1,7 +1,7 @@
 //! Applies the ends of runs that workers list: success, failure, retry.
 
 use crate::job::TaskPlacement;
-use crate::{EndedRow, JobEnd, JobKey, RunEnd, WorkerKey};
+use crate::{EndedRow, JobEnd, JobKey, RunEnd, WorkerKey, WorkerListing};
 
 use super::WorkCell;
 use super::records::StagedAction;
@@ -14,22 +14,25 @@
 const END_PERCENT: u32 = 100;
 
 impl WorkCell {
-    /// Applies the ends in a worker's listing that were not applied before.
-    pub(super) fn apply_ends(&mut self, worker_key: WorkerKey, rows: &[EndedRow]) {
+    /// Applies the ends in a worker's listing that were not applied before. The worker
+    /// may forget them once they are recorded, unless one of them cannot be read.
+    pub(super) fn apply_ends(&mut self, worker_key: WorkerKey, listing: &WorkerListing) {
         let applied_end = self.workers[worker_key].applied_end;
         let mut last = applied_end;
-        for row in rows.iter().filter(|row| row.number > applied_end) {
+        for row in listing.ended.iter().filter(|row| row.number > applied_end) {
             last = last.max(row.number);
             self.apply_end(worker_key, row);
         }
         if last > applied_end {
             let worker = &mut self.workers[worker_key];
             worker.applied_end = last;
-            self.staged.push(StagedAction::RunEndsRecorded {
-                worker: worker_key,
-                started_at: worker.report.started_at,
-                number: last,
-            });
+            if listing.unreadable_rows == 0 {
+                self.staged.push(StagedAction::RunEndsRecorded {
+                    worker: worker_key,
+                    started_at: worker.report.started_at,
+                    number: last,
+                });
+            }
             self.needs_placement = true;
         }
     }
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -164,9 +164,9 @@
         worker.last_answer_at = now;
         worker.lease.update_clock(listing.clock, now);
         let is_current = command.token == worker.lease.token;
-        let is_whole = listing.ended.len() < MAX_LISTED_ENDS;
+        let is_whole = listing.ended.len() < MAX_LISTED_ENDS && listing.unreadable_rows == 0;
         self.retract_loss(worker_key);
-        self.apply_ends(worker_key, &listing.ended);
+        self.apply_ends(worker_key, listing);
         self.apply_running(worker_key, &listing.running);
         self.clear_suspects(worker_key, command.sent);
         if is_current && is_whole {
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -95,6 +95,9 @@
     /// The ends of runs above the number that the poll reported as recorded. A
     /// worker lists a limited number of them.
     pub ended: Vec<EndedRow>,
+    /// The number of rows of both lists that cannot be decoded. With any, the listing
+    /// does not prove that a run is absent.
+    pub unreadable_rows: usize,
 }
 
 /// A run that has not ended, as its worker lists it.
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -231,6 +231,7 @@
             clock: now,
             running: running.collect(),
             ended: self.ended.clone(),
+            unreadable_rows: 0,
         })
     }
 
--- a/tests/tests/adapter_orders.rs
+++ b/tests/tests/adapter_orders.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 
 use pimentochute_adapter::HttpOrders;
-use pimentochute_base::MilliTime;
+use pimentochute_base::{MilliSpan, MilliTime};
 use pimentochute_edge::WorkerOrders;
 use pimentochute_tests::{RawEnd, RawServer};
-use pimentochute_work::{JobCode, OrderError, StartCommand, TaskName, WorkerKey, WorkerTarget};
+use pimentochute_work::{
+    JobCode, OrderError, PollCommand, StartCommand, TaskName, WorkerKey, WorkerTarget,
+};
 
 fn start_command(address: SocketAddr) -> StartCommand {
     StartCommand {
@@ -66,3 +68,31 @@
     let result = HttpOrders::new().start(&command).await;
     assert_eq!(result, Err(OrderError::OutcomeUnknown));
 }
+
+/// Guards against a worker that is lost because one row of its lists cannot be read. What
+/// the list lacks is not proved to be absent then.
+#[tokio::test]
+async fn an_odd_row_of_a_worker_costs_only_itself() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let body = format!(
+        r#"{{"clock-ms":5,"running":[["a.0.0.0",99999999999,"",1],{nested},["a.0.0.1",1,"",40]],"ended":[[1,"a.0.0.2",1,"done",""],[2]]}}"#
+    );
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    let server = RawServer::new([head, body].concat().into_bytes(), RawEnd::Close).await;
+    let server = server.expect("a free port");
+    let start = start_command(server.address());
+    let poll = PollCommand {
+        worker: start.worker,
+        target: start.target,
+        until: None,
+        token: 1,
+        last_recorded_end: 0,
+        max_wait: MilliSpan::ZERO,
+        sent: MilliTime::ZERO,
+    };
+    let listing = HttpOrders::new().poll(&poll).await.expect("a listing");
+    assert_eq!(listing.running.len(), 1);
+    assert_eq!(listing.running[0].task, "a.0.0.1");
+    assert_eq!(listing.ended.len(), 1);
+    assert_eq!(listing.unreadable_rows, 3);
+}
--- a/tests/tests/adapter_store.rs
+++ b/tests/tests/adapter_store.rs
@@ -194,3 +194,20 @@
         .await;
     next.expect("the key can be sent");
 }
+
+/// Guards against a list of members, or a page of the newest records, that is lost because
+/// of one row.
+#[tokio::test]
+async fn an_odd_row_of_an_answer_costs_only_itself() {
+    let rows = r#"[["roster",0,"a",0],["roster",-1,"b",0],[[[]]],["roster",2,"c",1e300]]"#;
+    for body in [rows.to_owned(), format!(r#"{{"n":1,"rows":{rows}}}"#)] {
+        let (store, _server) = store(http_response("200 OK", body.as_bytes()), RawEnd::Close).await;
+        let members = store.members("hosts").await.expect("the members");
+        let members: Vec<_> = members.into_values().collect();
+        assert_eq!(members, ["a", "c"]);
+    }
+    let body = r#"{"items":[{"key":5},{"key":"a","value":"dg=="}],"end-offset":2}"#;
+    let (store, _server) = store(http_response("200 OK", body.as_bytes()), RawEnd::Close).await;
+    let page = store.newest("keyed.servers", None).await.expect("a page");
+    assert_eq!(page.records.len(), 1);
+}
--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -314,6 +314,7 @@
                         clock: now,
                         running: running.collect(),
                         ended: worker.ended.clone(),
+                        unreadable_rows: 0,
                     }
                 });
                 let answer = answer.ok_or(OrderError::OutcomeUnknown);
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -650,3 +650,31 @@
     let written = Some(MilliTime::new(100_000));
     assert_eq!(starts_after_unlisting(written, 1_500).starts.len(), 1);
 }
+
+/// Guards against a second run of a task whose row its worker's list had, but which could
+/// not be read.
+#[test]
+fn a_listing_with_an_unreadable_row_does_not_prove_that_a_run_is_absent() {
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 4_000);
+    let starts = started(&mut test, 1, 2).starts;
+    test.answer_starts(&starts);
+    test.step(200);
+    for poll in test.run_due_work().polls {
+        let ended = vec![ended(&starts[0], 1, RunEnd::Failed)];
+        let listing = WorkerListing {
+            ended,
+            unreadable_rows: 1,
+            ..WorkerListing::default()
+        };
+        test.answer_poll(&poll, listing);
+    }
+    test.run_due_work();
+    let again = test.record().starts;
+    assert_eq!(again.len(), 1, "only the run that is listed as failed");
+    assert_eq!(again[0].task, starts[0].task);
+    test.step(200);
+    for poll in test.run_due_work().polls {
+        assert_eq!(poll.last_recorded_end, 0, "the unreadable end is forgotten");
+    }
+}
