Make up for a placement round that falls into an outage of the log

A job that became ready while the owner did not reach the log waited, after the outage, for the next event of a worker: the round that would have placed it was taken for done although it had placed nothing.

Evidence: a_round_that_falls_into_an_outage_of_the_log_is_made_up_for failed before (no start). Found with the test of draining workers: after the outage no task was placed for 1.5 s in a cell without other events.

Why this works: a round that may not place stays wanted, and is due again once the log takes records and the owner may extend leases.

--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -302,7 +302,7 @@
     pub fn next_due(&self) -> MilliTime {
         let tick = self.now + self.policy.max_tick_interval;
         let poll = self.polls.due().unwrap_or(tick);
-        let round = if self.needs_placement {
+        let round = if self.may_place() {
             self.placement_due()
         } else {
             tick
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -42,7 +42,7 @@
             self.remove_departed();
             self.log_usage();
         }
-        if self.needs_placement && self.placement_due() <= self.now {
+        if self.may_place() && self.placement_due() <= self.now {
             self.needs_placement = false;
             self.last_placement_at = self.now;
             self.place_backlog();
@@ -50,6 +50,13 @@
         self.send_due_polls();
     }
 
+    /// Returns whether a placement round is wanted and useful: the log takes records, and
+    /// this owner may extend leases. A round that is not stays wanted.
+    pub(super) fn may_place(&self) -> bool {
+        let (_, _, oldest) = self.batches();
+        self.needs_placement && oldest <= MAX_RECORD_DELAY && self.may_extend_leases()
+    }
+
     /// Returns when the next placement round is due. With a long backlog a round
     /// takes longer, so rounds are further apart.
     pub(super) fn placement_due(&self) -> MilliTime {
@@ -88,11 +95,6 @@
     }
 
     fn place_backlog(&mut self) {
-        let (_, _, oldest) = self.batches();
-        let is_slow = oldest > MAX_RECORD_DELAY;
-        if is_slow || !self.may_extend_leases() {
-            return;
-        }
         let mut plan = RoundPlan {
             max_free: self.max_free(),
             ..RoundPlan::default()
--- a/tests/tests/work_orders.rs
+++ b/tests/tests/work_orders.rs
@@ -3,7 +3,7 @@
 
 mod work_support;
 
-use pimentochute_base::MilliTime;
+use pimentochute_base::{MilliSpan, MilliTime};
 use pimentochute_work::{
     CellPolicy, JobCode, JobStatus, OrderError, RunEnd, RunningRow, WorkerListing,
 };
@@ -678,3 +678,21 @@
         assert_eq!(poll.last_recorded_end, 0, "the unreadable end is forgotten");
     }
 }
+
+/// Guards against a job that waits for the next event of a worker, since the round that
+/// would have placed it fell into an outage of the log.
+#[test]
+fn a_round_that_falls_into_an_outage_of_the_log_is_made_up_for() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, 4_000);
+    test.now = test.now + MilliSpan::new(4_000);
+    test.cell.advance(test.now, test.now);
+    test.submit(1, PLAIN, job(1, 1_000));
+    test.cell.run_due_work();
+    test.now = test.now + MilliSpan::new(10);
+    test.cell.advance(test.now, test.now);
+    test.cell.run_due_work();
+    assert!(test.record().starts.is_empty(), "the owner may be replaced");
+    test.run_due_work();
+    assert_eq!(test.record().starts.len(), 1);
+}
