Record that a suspected task's worker is alive before its start leaves

Cause: the record that a start had reached its worker was written after the answer to the start. An owner that ended in between left its successor without the evidence, and the crash did not count.

Why this works: a start that waits for an answer of its worker now leaves only once the record is in the log, as other starts wait for the record of their placement. 'a change between the answer of a worker and its record' fails on ('started again after 5 crashes').

--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -8,6 +8,7 @@
 use crate::{JobCode, JobCrashes, JobEnd, JobKey, WorkerKey};
 
 use super::WorkCell;
+use super::records::StagedAction;
 
 /// How long a lost worker is remembered, so that its return or its replacement still
 /// tells whether it had crashed.
@@ -236,11 +237,23 @@
         self.poll_soon(worker_key);
     }
 
-    /// Sends the starts that have waited for an answer of a worker.
-    pub(super) fn send_held_starts(&mut self, worker_key: WorkerKey) {
+    /// Releases the starts that have waited for an answer of a worker. They leave once the
+    /// log has that the worker was alive, so that a new owner knows it as well.
+    pub(super) fn release_held_starts(&mut self, worker_key: WorkerKey) {
         for (job_key, index) in self.held_runs(worker_key) {
-            let run = self.jobs[job_key].tasks[index].run;
-            self.send_start(job_key, index, run, worker_key);
+            let worker = &self.workers[worker_key];
+            let run = worker.runs[&(job_key, index)];
+            if run.waits_for_answer(worker.answered_poll_sent_at, self.now) {
+                self.poll_soon(worker_key);
+                continue;
+            }
+            self.note_start_reached((job_key, index), worker_key);
+            self.staged.push(StagedAction::Start {
+                job: job_key,
+                task: index,
+                run: run.number,
+                worker: worker_key,
+            });
         }
     }
 
@@ -256,8 +269,8 @@
         }
     }
 
-    /// Notes that the start of a suspected task has reached its worker, which was alive,
-    /// for this owner and the next one.
+    /// Notes that the worker of a suspected task is alive as its start leaves, for this
+    /// owner and the next one.
     pub(super) fn note_start_reached(
         &mut self,
         (job_key, index): (JobKey, usize),
@@ -276,7 +289,7 @@
 
     fn held_runs(&self, worker_key: WorkerKey) -> Vec<(JobKey, usize)> {
         let runs = self.workers[worker_key].runs.iter();
-        runs.filter(|(_, run)| run.held_since.is_some())
+        runs.filter(|(_, run)| run.held_since.is_some() && !run.has_reached_worker)
             .map(|(task_ref, _)| *task_ref)
             .collect()
     }
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -122,7 +122,7 @@
                 worker.lease.failed_polls = 0;
                 worker.lease.next_poll_at = now + self.policy.poll.interval;
                 self.apply_listing(command, &listing);
-                self.send_held_starts(command.worker);
+                self.release_held_starts(command.worker);
             }
             Err(error) => {
                 worker.lease.failed_polls += 1;
--- a/crates/pimentochute-work/src/crash.rs
+++ b/crates/pimentochute-work/src/crash.rs
@@ -49,8 +49,8 @@
     pub(crate) sole_losses: u32,
     /// The task has to start apart from other suspects.
     pub(crate) is_suspect: bool,
-    /// The last run that was started apart and has reached a worker that was alive; 0 if
-    /// there is none.
+    /// The last run that was started apart on a worker that was alive then; 0 if there is
+    /// none.
     pub(crate) reached_run: u32,
 }
 
@@ -72,8 +72,8 @@
     Inherited,
     /// The worker has not answered the start, and may have crashed before it.
     Unanswered,
-    /// The worker has not answered this owner, but the start has reached it: it had
-    /// answered a poll shortly before, or it has answered an earlier owner.
+    /// The worker has not answered the start, but it had answered a poll shortly before
+    /// the start left. An earlier owner may have sent it.
     Checked,
     /// The run had started within [`START_CRASH_WINDOW`] before the last answer of the
     /// worker, or later.
--- a/crates/pimentochute-work/src/record.rs
+++ b/crates/pimentochute-work/src/record.rs
@@ -90,8 +90,8 @@
     pub sole_losses: u32,
     /// The task has to start apart from other suspects.
     pub is_suspect: bool,
-    /// The last run that was started apart and has reached a worker that was alive; 0 if
-    /// there is none. Owners that do not know the field take the record for invalid, so
+    /// The last run that was started apart on a worker that was alive then; 0 if there is
+    /// none. Owners that do not know the field take the record for invalid, so
     /// it is left out where it says nothing.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub reached_run: u32,
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -180,7 +180,7 @@
     /// The placement is in the log, and the start waits since this time, on the cell's
     /// clock, for the answer to a later poll.
     pub(crate) held_since: Option<MilliTime>,
-    /// The task is suspected, and its start has reached a worker that was alive.
+    /// The task is suspected, and its worker was alive as the start left or answered it.
     pub(crate) has_reached_worker: bool,
 }
 
--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -456,6 +456,7 @@
 
 /// Guards against an owner that forgets the crashes that its predecessor has seen.
 #[test_case(20..28, 3_300, 210 ; "changes each two seconds")]
+#[test_case(1_239..1_240, 3_300, 210 ; "a change between the answer of a worker and its record")]
 #[test_case(28..36, 3_300, 870 ; "changes each nine seconds")]
 #[test_case(36..44, 9_000, 1_130 ; "changes each eleven seconds and workers away for long")]
 fn a_new_owner_knows_the_tasks_that_crashed_their_workers(
