Log how many suspected tasks wait, and why

Once a second the owner now writes `cell: suspects` with the number that waits, the longest wait, the reasons, the workers in a trial against their limit, and the vacant and calm workers.

--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -17,6 +17,7 @@
 mod restore;
 mod round;
 mod runs;
+mod suspect_usage;
 mod teams;
 mod workers;
 
--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -32,6 +32,16 @@
     runs: Vec<LostRun>,
 }
 
+/// The workers on which suspected tasks are starting.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TrialUsage {
+    /// All known workers.
+    workers: usize,
+    pub(super) apart: usize,
+    /// The workers that take runs and have none.
+    pub(super) vacant: usize,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct LostRun {
     job: JobKey,
@@ -326,14 +336,30 @@
 
     /// Returns on how many further workers suspected tasks may start.
     pub(super) fn spare_for_suspects(&self) -> usize {
+        let usage = self.trial_usage();
+        usage.limit().saturating_sub(usage.apart)
+    }
+
+    /// Returns how many workers suspected tasks use, and may use.
+    pub(super) fn trial_usage(&self) -> TrialUsage {
         let workers = self.workers.values();
         let apart = workers.filter(|worker| worker.apart_job.is_some());
         let vacant = self
             .workers
             .values()
             .filter(|worker| worker.runs.is_empty() && self.takes_runs(worker));
-        let vacant = vacant.count();
-        let limit = (self.workers.len() / MAX_APART_DIVISOR).max(vacant - vacant / 4);
-        limit.max(1).saturating_sub(apart.count())
+        TrialUsage {
+            workers: self.workers.len(),
+            apart: apart.count(),
+            vacant: vacant.count(),
+        }
+    }
+}
+
+impl TrialUsage {
+    /// Returns on how many workers suspected tasks may start at a time.
+    pub(super) fn limit(&self) -> usize {
+        let vacant = self.vacant - self.vacant / 4;
+        (self.workers / MAX_APART_DIVISOR).max(vacant).max(1)
     }
 }
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -92,6 +92,7 @@
             committed_mib = committed.memory_mib;
             "cell: usage"
         );
+        self.log_suspects();
     }
 
     fn place_backlog(&mut self) {
