--- /dev/null
+++ b/crates/pimentochute-measure/src/backlog/load.rs
@@ -0,0 +1,359 @@
+//! The jobs of a simulated site: kinds of jobs, their rates and their sizes.
+
+use fastrand::Rng;
+use pimentochute_base::{ConfigVersion, MilliSpan, MilliTime, ResourceAmount};
+use pimentochute_work::{
+    AdviceCost, CellConfig, JobCode, JobSpec, JobSubmission, PoolConfig, QueueConfig, QueueTerms,
+    RequestLimits, StepSpec, TeamConfig,
+};
+
+/// The resources of a worker: thousandths of a core, and MiB of memory.
+pub(super) const WORKER_CAPACITY: ResourceAmount = ResourceAmount::new(16_000, 65_536);
+
+/// The only pool.
+pub(super) const POOL: &str = "pool";
+
+/// The fleet size to which the rates of [`JobKind`] apply.
+const REFERENCE_WORKERS: usize = 48;
+
+/// The number of workers for each team.
+const WORKERS_PER_TEAM: usize = 8;
+
+/// The largest share of the room on the workers that may run a gang, in percent, that its
+/// tasks take. Otherwise it might never find enough workers.
+const MAX_GANG_PERCENT: u64 = 75;
+
+/// The number of workers in the call for advice that the objective of a job includes.
+const OBJECTIVE_WORKERS: usize = 30;
+
+/// The largest share of its mean by which the duration of a run differs, in percent.
+const RUN_VARIATION_PERCENT: u64 = 15;
+
+/// The distribution of a quantity: log-normal, cut off at a maximum.
+#[derive(Debug, Clone, Copy)]
+pub struct SizeSpread {
+    mean: f64,
+    /// The standard deviation as a share of the mean.
+    spread: f64,
+    max: f64,
+}
+
+/// A kind of job with its queue.
+#[derive(Debug, Clone)]
+pub struct JobKind {
+    /// The name of the queue.
+    pub queue: &'static str,
+    /// The priority of the queue; 0 goes first.
+    pub priority: u32,
+    /// The number of jobs in 1,000 s for each 48 workers.
+    pub jobs_per_1000_s: u64,
+    /// The number of steps, each of which follows the one before.
+    pub steps: SizeSpread,
+    /// The number of tasks of a step.
+    pub tasks: SizeSpread,
+    /// The demand of a task, in thousandths of a core.
+    pub cpu_millis: SizeSpread,
+    /// The demand of a task, in MiB.
+    pub memory_mib: SizeSpread,
+    /// The duration of a run, in milliseconds.
+    pub run_ms: SizeSpread,
+    /// The share of jobs whose steps are gangs, in percent.
+    pub gang_percent: u64,
+    /// The cost of advice.
+    pub advice: AdviceCost,
+    /// The share of workers that may run a step, in percent.
+    pub eligible_percent: u64,
+    /// See [`QueueConfig::target_latency`].
+    pub target_latency: MilliSpan,
+    /// See [`QueueConfig::stretch_permille`].
+    pub stretch_permille: u64,
+    /// Part of the jobs of this kind may be deadly.
+    pub may_be_deadly: bool,
+}
+
+/// A job with what the owner does not know of it.
+#[derive(Debug, Clone)]
+pub(super) struct SimulatedJob {
+    pub(super) submission: JobSubmission,
+    /// Each run of its tasks crashes its worker.
+    pub(super) is_deadly: bool,
+    /// The share of workers that may run a step, in percent.
+    pub(super) eligible_percent: u64,
+    /// The time that the job may take to be of use: three times its objective.
+    pub(super) useful_for: MilliSpan,
+}
+
+/// The jobs that arrive over time.
+#[derive(Debug)]
+pub(super) struct SiteLoad {
+    kinds: Vec<KindLoad>,
+    workers: u64,
+    /// The number of teams, which submit in turn.
+    teams: u64,
+    rng: Rng,
+    next_code: u64,
+}
+
+#[derive(Debug)]
+struct KindLoad {
+    kind: JobKind,
+    /// The mean time between two jobs, in microseconds.
+    interval_micros: f64,
+    /// The time of the next job, in microseconds from the start.
+    next_micros: f64,
+}
+
+impl SizeSpread {
+    /// Creates a distribution by its mean, its standard deviation as a share of the mean,
+    /// and its maximum.
+    #[must_use]
+    pub const fn new(mean: f64, spread: f64, max: f64) -> Self {
+        Self { mean, spread, max }
+    }
+
+    /// Creates a distribution with only one value.
+    #[must_use]
+    pub const fn exactly(value: f64) -> Self {
+        Self::new(value, 0.0, value)
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is between 1 and the maximum"
+    )]
+    fn draw(&self, rng: &mut Rng) -> u64 {
+        let variance = self.spread.powi(2).ln_1p();
+        let angle = std::f64::consts::TAU * rng.f64();
+        let normal = (-2.0 * (1.0 - rng.f64()).ln()).sqrt() * angle.cos();
+        let value = self.mean * (variance.sqrt() * normal - variance / 2.0).exp();
+        value.clamp(1.0, self.max).round() as u64
+    }
+}
+
+impl JobKind {
+    /// Returns urgent small jobs, some of them gangs, part of which may be deadly.
+    #[must_use]
+    pub const fn price_check() -> Self {
+        Self {
+            queue: "price-check",
+            priority: 0,
+            jobs_per_1000_s: 48_200,
+            steps: SizeSpread::exactly(1.0),
+            tasks: SizeSpread::new(2.0, 0.8, 12.0),
+            cpu_millis: SizeSpread::new(1_400.0, 0.45, 4_200.0),
+            memory_mib: SizeSpread::new(5_200.0, 0.6, 15_000.0),
+            run_ms: SizeSpread::new(640.0, 0.5, 1_600.0),
+            gang_percent: 30,
+            advice: advice(7_400, 110),
+            eligible_percent: 70,
+            target_latency: MilliSpan::new(250),
+            stretch_permille: 1_500,
+            may_be_deadly: true,
+        }
+    }
+
+    /// Returns jobs of many tasks that are not urgent.
+    #[must_use]
+    pub const fn proof_render() -> Self {
+        Self {
+            queue: "proof-render",
+            priority: 2,
+            jobs_per_1000_s: 5_440,
+            steps: SizeSpread::new(1.5, 0.4, 3.8),
+            tasks: SizeSpread::new(10.0, 0.8, 60.0),
+            cpu_millis: SizeSpread::new(980.0, 0.45, 2_900.0),
+            memory_mib: SizeSpread::new(2_000.0, 0.6, 6_000.0),
+            run_ms: SizeSpread::new(2_700.0, 0.5, 6_800.0),
+            gang_percent: 0,
+            advice: advice(66_000, 940),
+            eligible_percent: 45,
+            target_latency: MilliSpan::new(3_000),
+            stretch_permille: 4_000,
+            may_be_deadly: false,
+        }
+    }
+
+    /// Returns large gangs.
+    #[must_use]
+    pub const fn separation() -> Self {
+        Self {
+            queue: "separation",
+            priority: 1,
+            jobs_per_1000_s: 1_840,
+            steps: SizeSpread::new(1.2, 0.4, 3.0),
+            tasks: SizeSpread::new(8.0, 0.8, 48.0),
+            cpu_millis: SizeSpread::new(4_500.0, 0.4, 7_600.0),
+            memory_mib: SizeSpread::new(8_800.0, 0.5, 18_000.0),
+            run_ms: SizeSpread::new(4_000.0, 0.5, 10_000.0),
+            gang_percent: 100,
+            advice: advice(410_000, 5_800),
+            eligible_percent: 25,
+            target_latency: MilliSpan::new(1_000),
+            stretch_permille: 2_200,
+            may_be_deadly: false,
+        }
+    }
+
+    fn queue_config(&self) -> QueueConfig {
+        QueueConfig {
+            host: "jobs.example".to_owned(),
+            path_prefix: format!("/{}/", self.queue),
+            pool: POOL.to_owned(),
+            priority: self.priority,
+            max_attempts: 3,
+            timeout: MilliSpan::new(3_000),
+            target_latency: self.target_latency,
+            stretch_permille: self.stretch_permille,
+            is_open: false,
+            advice: Some(self.advice),
+        }
+    }
+
+    fn job(&self, rng: &mut Rng, team: u64, received: MilliTime) -> SimulatedJob {
+        let is_gang = rng.u64(0..100) < self.gang_percent;
+        let steps = u16::try_from(self.steps.draw(rng)).unwrap_or(u16::MAX);
+        let steps: Vec<_> = (0..steps)
+            .map(|index| StepSpec {
+                tasks: u32::try_from(self.tasks.draw(rng)).unwrap_or(u32::MAX),
+                demand: ResourceAmount::new(self.cpu_millis.draw(rng), self.memory_mib.draw(rng)),
+                estimate: MilliSpan::new(self.run_ms.draw(rng)),
+                after: index.checked_sub(1).into_iter().collect(),
+                is_gang,
+                ..StepSpec::default()
+            })
+            .collect();
+        let call = self.advice.span(OBJECTIVE_WORKERS).as_millis();
+        let chain: u64 = steps
+            .iter()
+            .map(|step| step.estimate.as_millis() * (100 + RUN_VARIATION_PERCENT) / 100 + call)
+            .sum();
+        let objective = chain * self.stretch_permille / 1_000 + self.target_latency.as_millis();
+        SimulatedJob {
+            submission: JobSubmission {
+                queue: self.queue.to_owned(),
+                team: Some(format!("team-{team}")),
+                received,
+                terms: QueueTerms::from(&self.queue_config()),
+                spec: JobSpec {
+                    text: "x".repeat(400),
+                    steps,
+                    schedule: None,
+                },
+            },
+            is_deadly: false,
+            eligible_percent: self.eligible_percent,
+            useful_for: MilliSpan::new(3 * objective),
+        }
+    }
+}
+
+const fn advice(call_micros: u64, worker_micros: u64) -> AdviceCost {
+    AdviceCost {
+        call_micros,
+        worker_micros,
+        validity: MilliSpan::new(1_500),
+    }
+}
+
+impl SimulatedJob {
+    /// Limits the number of tasks of gangs to what is likely to find room.
+    fn limit_gangs(&mut self, workers: u64) {
+        let eligible = workers * self.eligible_percent / 100;
+        for step in &mut self.submission.spec.steps {
+            let per_worker = (WORKER_CAPACITY.cpu_millis / step.demand.cpu_millis)
+                .min(WORKER_CAPACITY.memory_mib / step.demand.memory_mib);
+            let most = (eligible * per_worker * MAX_GANG_PERCENT / 100).max(1);
+            if step.is_gang {
+                step.tasks = step.tasks.min(u32::try_from(most).unwrap_or(u32::MAX));
+            }
+        }
+    }
+}
+
+impl SiteLoad {
+    /// Creates the load of a fleet. The rates grow with the number of workers.
+    pub(super) fn new(kinds: &[JobKind], workers: usize, seed: u64) -> Self {
+        let kinds = kinds.iter().map(|kind| {
+            let per_second =
+                kind.jobs_per_1000_s as f64 / 1_000.0 * workers as f64 / REFERENCE_WORKERS as f64;
+            KindLoad {
+                kind: kind.clone(),
+                interval_micros: 1_000_000.0 / per_second,
+                next_micros: 0.0,
+            }
+        });
+        Self {
+            kinds: kinds.collect(),
+            workers: workers as u64,
+            teams: team_count(workers),
+            rng: Rng::with_seed(seed),
+            next_code: 1,
+        }
+    }
+
+    /// Returns the jobs that arrive until `elapsed` after the start, which is the time
+    /// `received`. A share of `deadly_percent` of those that may be is deadly.
+    pub(super) fn due(
+        &mut self,
+        elapsed: MilliSpan,
+        received: MilliTime,
+        deadly_percent: u64,
+    ) -> Vec<(JobCode, SimulatedJob)> {
+        let mut jobs = Vec::new();
+        for load in &mut self.kinds {
+            while load.next_micros <= elapsed.as_millis() as f64 * 1_000.0 {
+                load.next_micros -= load.interval_micros * (1.0 - self.rng.f64()).ln();
+                let team = self.next_code % self.teams;
+                let mut job = load.kind.job(&mut self.rng, team, received);
+                job.limit_gangs(self.workers);
+                job.is_deadly = load.kind.may_be_deadly && self.rng.u64(0..100) < deadly_percent;
+                jobs.push((JobCode::new(self.next_code), job));
+                self.next_code += 1;
+            }
+        }
+        jobs
+    }
+}
+
+/// Returns the number of teams of a fleet.
+fn team_count(workers: usize) -> u64 {
+    workers.div_ceil(WORKERS_PER_TEAM) as u64
+}
+
+/// Returns the duration of a run of a task with this mean.
+pub(super) fn run_time(mean: MilliSpan, rng: &mut Rng) -> MilliSpan {
+    let percent = rng.u64(100 - RUN_VARIATION_PERCENT..=100 + RUN_VARIATION_PERCENT);
+    MilliSpan::new((mean.as_millis() * percent / 100).max(1))
+}
+
+/// Returns the configuration for these kinds of jobs. The runs of a team may use
+/// `team_cap` at a time; a resource of 0 is not limited.
+pub(super) fn config(kinds: &[JobKind], workers: usize, team_cap: ResourceAmount) -> CellConfig {
+    let queues = kinds.iter();
+    let queues = queues.map(|kind| (kind.queue.to_owned(), kind.queue_config()));
+    let teams = (0..team_count(workers)).map(|team| {
+        let config = TeamConfig {
+            keys: Vec::new(),
+            weight: 100_000,
+            cap: team_cap,
+        };
+        (format!("team-{team}"), config)
+    });
+    let pool = PoolConfig {
+        workers_check_capacity: false,
+        is_standby: false,
+    };
+    CellConfig {
+        version: ConfigVersion::new(1),
+        queues: queues.collect(),
+        pools: [(POOL.to_owned(), pool)].into(),
+        teams: teams.collect(),
+        limits: RequestLimits {
+            header_bytes: 16_384,
+            body_bytes: 262_144,
+            header_timeout: MilliSpan::new(3_000),
+            idle_timeout: MilliSpan::new(15_000),
+        },
+    }
+}
--- /dev/null
+++ b/tests/tests/work_backlog.rs
@@ -0,0 +1,120 @@
+//! Simulates a backlog of suspected tasks after a part of the urgent jobs has crashed the
+//! workers. While room is free, the sound tasks among them have to start in time.
+
+use pimentochute_base::{MilliSpan, ResourceAmount};
+use pimentochute_measure::backlog::{BacklogReport, BacklogScenario, JobKind, SizeSpread};
+use test_case::test_case;
+
+/// The time in which the jobs that arrive may be deadly.
+const DEADLY_PHASE: [MilliSpan; 2] = [MilliSpan::new(2_000), MilliSpan::new(7_000)];
+
+/// The time in which jobs arrive.
+const TRAFFIC: MilliSpan = MilliSpan::new(8_000);
+
+/// The longest time after that.
+const DRAIN: MilliSpan = MilliSpan::new(40_000);
+
+/// When the owner changes, if it does.
+const OWNER_CHANGE: MilliSpan = MilliSpan::new(5_000);
+
+/// The share of deadly jobs, in percent.
+const DEADLY_PERCENT: u64 = 20;
+
+/// The time in which a job that could run has to start, as the platform counts it.
+const MAX_WAIT: MilliSpan = MilliSpan::new(14_000);
+
+/// The number of crashes with a task as the only suspect until it is given up: the one that
+/// made it a suspect, and two more.
+const MAX_SOLE_CRASHES: u32 = 3;
+
+/// The number of starts of a task that the platform allows after its third crash.
+const MAX_LATER_STARTS: u32 = 2;
+
+/// The processor time that a team may use in the tests at the cap, which is less than a step
+/// needs at a time.
+const TEAM_CAP: ResourceAmount = ResourceAmount::new(10_000, 0);
+
+/// Plays a load in which part of the jobs of a kind are deadly.
+fn play(
+    workers: usize,
+    has_owner_change: bool,
+    kind: JobKind,
+    cap: ResourceAmount,
+) -> BacklogReport {
+    let [from, until] = DEADLY_PHASE;
+    BacklogScenario::new(workers, vec![kind])
+        .with_traffic(TRAFFIC, DRAIN)
+        .with_deadly_share(DEADLY_PERCENT, from, until)
+        .with_owner_change(has_owner_change.then_some(OWNER_CHANGE))
+        .with_team_cap(cap)
+        .play()
+}
+
+/// Checks that the sound tasks started in time, and that only the deadly ones were given up.
+fn check(report: &BacklogReport) {
+    assert!(report.suspects > 0, "the load has suspects");
+    assert_eq!(report.double_runs, 0, "no task runs twice at a time");
+    assert_eq!(report.sound_given_up, 0, "sound jobs are not given up");
+    assert_eq!(report.deadly_left, 0, "deadly jobs are given up");
+    assert!(
+        report.max_sole_crashes <= MAX_SOLE_CRASHES,
+        "a deadly task crashed {} workers as the only suspect",
+        report.max_sole_crashes
+    );
+    assert!(
+        report.max_later_starts <= MAX_LATER_STARTS,
+        "a task started {} times after its third crash",
+        report.max_later_starts
+    );
+    assert_eq!(
+        report.never_started, 0,
+        "sound tasks that have not started {DRAIN} after the end of the traffic"
+    );
+    assert!(
+        report.last_sound_start <= MAX_WAIT,
+        "the last sound task started {} after the last crash",
+        report.last_sound_start
+    );
+}
+
+/// Guards against sound suspects that wait although room is free.
+#[test_case(48, false ; "of 48 workers")]
+#[test_case(48, true ; "of 48 workers and a new owner")]
+#[test_case(540, false ; "of 540 workers")]
+#[test_case(540, true ; "of 540 workers and a new owner")]
+fn suspected_tasks_start_in_time(workers: usize, has_owner_change: bool) {
+    let kind = JobKind {
+        gang_percent: 0,
+        ..JobKind::price_check()
+    };
+    check(&play(workers, has_owner_change, kind, ResourceAmount::ZERO));
+}
+
+/// The same for gangs, which need calm workers for all suspected members at once.
+#[test_case(48, false ; "of 48 workers")]
+#[test_case(48, true ; "of 48 workers and a new owner")]
+#[test_case(540, false ; "of 540 workers")]
+#[test_case(540, true ; "of 540 workers and a new owner")]
+fn gangs_with_suspected_members_start_in_time(workers: usize, has_owner_change: bool) {
+    let kind = JobKind {
+        gang_percent: 100,
+        ..JobKind::price_check()
+    };
+    check(&play(workers, has_owner_change, kind, ResourceAmount::ZERO));
+}
+
+/// The same for steps that need more than the cap of their team at a time.
+#[test_case(48, false ; "of 48 workers")]
+#[test_case(48, true ; "of 48 workers and a new owner")]
+#[test_case(540, false ; "of 540 workers")]
+#[test_case(540, true ; "of 540 workers and a new owner")]
+fn suspected_tasks_at_the_cap_of_their_team_start_in_time(workers: usize, has_owner_change: bool) {
+    let kind = JobKind {
+        gang_percent: 0,
+        jobs_per_1000_s: 4_200,
+        tasks: SizeSpread::exactly(8.0),
+        cpu_millis: SizeSpread::exactly(1_400.0),
+        ..JobKind::price_check()
+    };
+    check(&play(workers, has_owner_change, kind, TEAM_CAP));
+}
