--- a/crates/pimentochute-measure/src/backlog/report.rs
+++ b/crates/pimentochute-measure/src/backlog/report.rs
@@ -1,5 +1,7 @@
 //! The figures of a simulation.
 
+use std::fmt;
+
 use pimentochute_base::MilliSpan;
 
 /// The figures of a simulation.
@@ -118,3 +120,23 @@
     /// The share of the waiting suspects that had waited for longer, in percent.
     pub older_percent: [u64; 2],
 }
+
+impl fmt::Display for BacklogReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} suspects, {} crashes; after the last one that was not due to a suspect, at {}, \
+             the last sound task that waited has started after {}, and {} have not started; \
+             given up: {} sound and {} deadly jobs; not ended: {} and {}",
+            self.suspects,
+            self.crashes,
+            self.last_crash,
+            self.last_sound_start,
+            self.never_started,
+            self.sound_given_up,
+            self.deadly_given_up,
+            self.sound_left,
+            self.deadly_left
+        )
+    }
+}
