--- a/crates/pimentochute-measure/src/backlog/ledger.rs
+++ b/crates/pimentochute-measure/src/backlog/ledger.rs
@@ -103,16 +103,24 @@
 struct WorkerView {
     /// The worker is listed and has not crashed.
     is_up: bool,
-    is_vacant: bool,
-    /// A suspect is placed here.
-    has_suspect: bool,
-    /// A run that is no suspect has lost a worker before.
-    has_lost: bool,
-    /// The worker has not answered for long enough after a start.
-    is_recent: bool,
+    runs: usize,
+    calmness: WorkerCalmness,
     committed: ResourceAmount,
 }
 
+/// Whether a suspect may start on a worker, by the run there that prevents it most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum WorkerCalmness {
+    /// All runs have shown that they do no harm.
+    Calm,
+    /// The worker has not answered for long enough after a start.
+    RecentStart,
+    /// A run that is no suspect has lost a worker before.
+    LostBefore,
+    /// A suspect is placed here.
+    InTrial,
+}
+
 /// Sums over the samples of a second.
 #[derive(Debug, Default)]
 struct SecondSums {
@@ -411,17 +419,18 @@
         let workers = self.worker_views();
         for view in workers.values() {
             if !view.is_up {
-                row.held_by_crashed += usize::from(view.has_suspect);
+                row.held_by_crashed += usize::from(view.calmness == WorkerCalmness::InTrial);
                 continue;
             }
-            let has_lost = view.has_lost && !view.has_suspect;
             row.workers += 1;
-            row.vacant += usize::from(view.is_vacant);
-            row.in_trial += usize::from(view.has_suspect);
-            row.with_losers += usize::from(has_lost);
-            row.with_recent += usize::from(view.is_recent && !view.has_suspect && !has_lost);
-            row.calm += usize::from(view.is_calm());
+            row.vacant += usize::from(view.runs == 0);
             row.used_millis += view.committed.cpu_millis;
+            *match view.calmness {
+                WorkerCalmness::Calm => &mut row.calm,
+                WorkerCalmness::RecentStart => &mut row.with_recent,
+                WorkerCalmness::LostBefore => &mut row.with_losers,
+                WorkerCalmness::InTrial => &mut row.in_trial,
+            } += 1;
         }
         let open = self.open.iter().map(|code| (*code, &self.jobs[code]));
         for (code, entry) in open.filter(|(_, entry)| entry.was_suspect) {
@@ -452,12 +461,9 @@
                         continue;
                     };
                     let last_answer = self.workers.get(worker).copied().unwrap_or_default();
-                    let answered = task.answered_at.map(|at| last_answer.since(at));
                     let view = views.entry(worker).or_insert(WorkerView::new(false));
-                    view.is_vacant = false;
-                    view.has_suspect |= task.is_suspect;
-                    view.has_lost |= task.losses > 0 && !task.is_suspect;
-                    view.is_recent |= answered.is_none_or(|span| span < START_CRASH_WINDOW);
+                    view.runs += 1;
+                    view.calmness = view.calmness.max(task.calmness(last_answer));
                     view.committed += step.demand;
                 }
             }
@@ -492,9 +498,9 @@
         let takes = |task: &TaskEntry, view: &WorkerView| {
             let free = WORKER_CAPACITY.saturating_sub(&view.committed);
             view.is_up
-                && view.is_calm()
+                && view.calmness == WorkerCalmness::Calm
                 && demand.fits_within(&free)
-                && (view.is_vacant || !needs_vacant(task))
+                && (view.runs == 0 || !needs_vacant(task))
         };
         let is_ready = valid.iter().any(|(worker, _)| {
             let view = workers.get(worker.as_str());
@@ -588,24 +594,32 @@
     fn is_waiting_suspect(&self) -> bool {
         self.is_suspect && self.phase == TaskPhase::Waiting
     }
+
+    /// Returns what the run of the task means for suspects on its worker, which last
+    /// answered at `last_answer`.
+    fn calmness(&self, last_answer: MilliTime) -> WorkerCalmness {
+        let answered = self.answered_at.map(|at| last_answer.since(at));
+        if self.is_suspect {
+            WorkerCalmness::InTrial
+        } else if self.losses > 0 {
+            WorkerCalmness::LostBefore
+        } else if answered.is_none_or(|span| span < START_CRASH_WINDOW) {
+            WorkerCalmness::RecentStart
+        } else {
+            WorkerCalmness::Calm
+        }
+    }
 }
 
 impl WorkerView {
     const fn new(is_up: bool) -> Self {
         Self {
             is_up,
-            is_vacant: true,
-            has_suspect: false,
-            has_lost: false,
-            is_recent: false,
+            runs: 0,
+            calmness: WorkerCalmness::Calm,
             committed: ResourceAmount::ZERO,
         }
     }
-
-    /// Returns whether a suspect may start beside the runs.
-    const fn is_calm(&self) -> bool {
-        !self.has_suspect && !self.has_lost && !self.is_recent
-    }
 }
 
 impl SecondSums {
--- a/crates/pimentochute-measure/src/backlog/load.rs
+++ b/crates/pimentochute-measure/src/backlog/load.rs
@@ -203,7 +203,7 @@
             memory_mib: SizeSpread::new(5_200.0, 0.6, 15_000.0),
             run_ms: SizeSpread::new(640.0, 0.5, 1_600.0),
             gang_percent: 30,
-            advice: advice(7_400, 110),
+            advice: Some(advice(7_400, 110)),
             eligible_percent: 70,
             target_latency: MilliSpan::new(250),
             stretch_permille: 1_500,
@@ -223,7 +223,7 @@
             memory_mib: SizeSpread::new(2_000.0, 0.6, 6_000.0),
             run_ms: SizeSpread::new(2_700.0, 0.5, 6_800.0),
             gang_percent: 0,
-            advice: advice(66_000, 940),
+            advice: Some(advice(66_000, 940)),
             eligible_percent: 45,
             target_latency: MilliSpan::new(3_000),
             stretch_permille: 4_000,
@@ -243,7 +243,7 @@
             memory_mib: SizeSpread::new(8_800.0, 0.5, 18_000.0),
             run_ms: SizeSpread::new(4_000.0, 0.5, 10_000.0),
             gang_percent: 100,
-            advice: advice(410_000, 5_800),
+            advice: Some(advice(410_000, 5_800)),
             eligible_percent: 25,
             target_latency: MilliSpan::new(1_000),
             stretch_permille: 2_200,
@@ -326,12 +326,12 @@
     }
 }
 
-const fn advice(call_micros: u64, worker_micros: u64) -> Option<AdviceCost> {
-    Some(AdviceCost {
+const fn advice(call_micros: u64, worker_micros: u64) -> AdviceCost {
+    AdviceCost {
         call_micros,
         worker_micros,
         validity: MilliSpan::new(1_500),
-    })
+    }
 }
 
 impl SimulatedJob {
