--- a/crates/pimentochute-measure/src/backlog/ledger.rs
+++ b/crates/pimentochute-measure/src/backlog/ledger.rs
@@ -17,6 +17,9 @@
 /// The number of crashes after which the platform counts further starts of a task.
 const COUNTED_CRASHES: u32 = 3;
 
+/// From this number of losses on, a suspect stays apart until it ends.
+const SUSPECT_LOSSES: u32 = 3;
+
 /// The part of the workers, as a divisor, that the owner uses for trials at least.
 const MAX_APART_DIVISOR: usize = 12;
 
@@ -105,6 +108,8 @@
     is_up: bool,
     runs: usize,
     calmness: WorkerCalmness,
+    /// A suspect here has run for long enough, and stays apart all the same.
+    has_kept_suspect: bool,
     committed: ResourceAmount,
 }
 
@@ -423,6 +428,7 @@
                 continue;
             }
             row.workers += 1;
+            row.held_by_kept += usize::from(view.has_kept_suspect);
             row.vacant += usize::from(view.runs == 0);
             row.used_millis += view.committed.cpu_millis;
             *match view.calmness {
@@ -464,6 +470,9 @@
                     let view = views.entry(worker).or_insert(WorkerView::new(false));
                     view.runs += 1;
                     view.calmness = view.calmness.max(task.calmness(last_answer));
+                    view.has_kept_suspect |= task.is_suspect
+                        && task.losses >= SUSPECT_LOSSES
+                        && task.answered_for(last_answer) >= START_CRASH_WINDOW;
                     view.committed += step.demand;
                 }
             }
@@ -595,15 +604,21 @@
         self.is_suspect && self.phase == TaskPhase::Waiting
     }
 
+    /// Returns for how long the worker, which last answered at `last_answer`, has answered
+    /// after the start of the task.
+    fn answered_for(&self, last_answer: MilliTime) -> MilliSpan {
+        let since = self.answered_at.unwrap_or(last_answer);
+        last_answer.since(since)
+    }
+
     /// Returns what the run of the task means for suspects on its worker, which last
     /// answered at `last_answer`.
     fn calmness(&self, last_answer: MilliTime) -> WorkerCalmness {
-        let answered = self.answered_at.map(|at| last_answer.since(at));
         if self.is_suspect {
             WorkerCalmness::InTrial
         } else if self.losses > 0 {
             WorkerCalmness::LostBefore
-        } else if answered.is_none_or(|span| span < START_CRASH_WINDOW) {
+        } else if self.answered_for(last_answer) < START_CRASH_WINDOW {
             WorkerCalmness::RecentStart
         } else {
             WorkerCalmness::Calm
@@ -617,6 +632,7 @@
             is_up,
             runs: 0,
             calmness: WorkerCalmness::Calm,
+            has_kept_suspect: false,
             committed: ResourceAmount::ZERO,
         }
     }
@@ -640,6 +656,7 @@
         sums.with_calls += row.with_calls;
         sums.used_millis += row.used_millis;
         sums.held_by_crashed += row.held_by_crashed;
+        sums.held_by_kept += row.held_by_kept;
         sums.needs_vacant += row.needs_vacant;
         sums.ready += row.ready;
     }
@@ -662,6 +679,7 @@
             with_calls: mean(sums.with_calls),
             used_millis: sums.used_millis / samples.max(1) as u64,
             held_by_crashed: mean(sums.held_by_crashed),
+            held_by_kept: mean(sums.held_by_kept),
             needs_vacant: mean(sums.needs_vacant),
             ready: mean(sums.ready),
             ..sums
--- a/crates/pimentochute-measure/src/backlog/main.rs
+++ b/crates/pimentochute-measure/src/backlog/main.rs
@@ -74,6 +74,7 @@
         "ready": row.ready,
         "needs_vacant": row.needs_vacant,
         "held_by_crashed": row.held_by_crashed,
+        "held_by_kept": row.held_by_kept,
         "used_millis": row.used_millis,
     })
 }
--- a/crates/pimentochute-measure/src/backlog/report.rs
+++ b/crates/pimentochute-measure/src/backlog/report.rs
@@ -98,6 +98,9 @@
     pub needs_vacant: usize,
     /// The crashed workers that still hold the place of a trial.
     pub held_by_crashed: usize,
+    /// The workers in a trial whose suspect has done no harm, but has lost so many workers
+    /// that it stays apart until it ends.
+    pub held_by_kept: usize,
     /// The processor capacity that is committed on workers that have not crashed, in
     /// thousandths of a core.
     pub used_millis: u64,
