Let the trials of suspected tasks follow the free room, in turns of their own

Cause: the limit on workers that try suspects (1 in 12) counted a crashed worker until its next life appeared (3.4 s) and a task that had lost three workers until it ended, so that four slots decided about one task a second, whatever room was free. Trials beside other runs made new suspects of these; a likely guilty task waited up to 30 s for a vacant worker that nothing provided; and a gang with more suspects than spare workers could not start at all.

Why it works: the limit is half of the free room (at least 1 in 12, or three quarters of the vacant workers), tasks that stay apart have one of their own, workers are kept for suspects so that they run empty, and the suspects take turns: the likely sound ones first, then by age. The evidence that gives a job up is unchanged; work_crashes passes as it was.

--- a/crates/pimentochute-edge/src/edge_metrics.rs
+++ b/crates/pimentochute-edge/src/edge_metrics.rs
@@ -22,6 +22,7 @@
     open_jobs: Gauge<u64>,
     workers: Gauge<u64>,
     batches_open: Gauge<u64>,
+    suspects_waiting: Gauge<u64>,
     config_age: Gauge<u64>,
     join_answer_age: Gauge<u64>,
 }
@@ -45,6 +46,7 @@
             open_jobs: meter.u64_gauge("jobs_open").build(),
             workers: meter.u64_gauge("workers_known").build(),
             batches_open: meter.u64_gauge("batches_open").build(),
+            suspects_waiting: meter.u64_gauge("suspects_waiting").build(),
             config_age: meter.u64_gauge("config_age_ms").build(),
             join_answer_age: meter.u64_gauge("log_silence_ms").build(),
         }
@@ -86,6 +88,11 @@
         self.batches_open.record(batches as u64, &[]);
     }
 
+    /// Records the number of tasks that are suspected of crashing their workers and wait.
+    pub(crate) fn record_suspects(&self, waiting: usize) {
+        self.suspects_waiting.record(waiting as u64, &[]);
+    }
+
     /// Records the times since the configuration was last confirmed and since
     /// the last answered join.
     pub(crate) fn record_ages(&self, config_age: MilliSpan, join_answer_age: MilliSpan) {
--- a/crates/pimentochute-edge/src/owner/run.rs
+++ b/crates/pimentochute-edge/src/owner/run.rs
@@ -77,6 +77,7 @@
             let result = self.run_term(epoch, may_hand_over, &stop).await;
             self.local_owner.end_term();
             self.context.counters.record_cell(0, 0, 0);
+            self.context.counters.record_suspects(0);
             match result {
                 Ok(TermEnd::Stopped) => {
                     log::info!(epoch:%; "owner: a term ends: this host stops");
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -86,6 +86,11 @@
     relays: AdviceRelays,
     /// The workers that the last placement round kept free for gangs.
     reserved_workers: BTreeSet<WorkerKey>,
+    /// Contains all jobs with a task that is suspected of crashing its workers.
+    suspect_jobs: BTreeSet<JobKey>,
+    /// The workers that take no tasks but suspected ones until the next placement round,
+    /// and since when.
+    trial_workers: BTreeMap<WorkerKey, MilliTime>,
     /// The workers of which it is not known yet whether they crashed.
     lost_workers: Vec<LostWorker>,
     start_delay: StartDelay,
@@ -97,6 +102,8 @@
     /// When leases, stalled runs and removed workers were last checked.
     last_maintenance_at: MilliTime,
     last_usage_log_at: MilliTime,
+    /// The suspected tasks that waited at that time.
+    suspects_waiting: usize,
     polls: PollSchedule,
     /// Jobs whose submission has to be recorded.
     submitted: Vec<JobKey>,
@@ -145,6 +152,8 @@
             eligibility_rates: BTreeMap::new(),
             relays: AdviceRelays::default(),
             reserved_workers: BTreeSet::new(),
+            suspect_jobs: BTreeSet::new(),
+            trial_workers: BTreeMap::new(),
             lost_workers: Vec::new(),
             start_delay: StartDelay::default(),
             is_superseded: false,
@@ -152,6 +161,7 @@
             last_placement_at: MilliTime::ZERO,
             last_maintenance_at: MilliTime::ZERO,
             last_usage_log_at: now,
+            suspects_waiting: 0,
             polls: PollSchedule::default(),
             submitted: Vec::new(),
             dirty: BTreeSet::new(),
--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -1,6 +1,6 @@
 //! Losses of workers: which tasks they count against, and where suspected tasks start.
 
-use pimentochute_base::{MilliSpan, MilliTime};
+use pimentochute_base::{MilliSpan, MilliTime, ResourceAmount};
 
 use crate::crash::{RunLoss, StartStatus};
 use crate::job::{CrashRecord, TaskPlacement};
@@ -14,13 +14,22 @@
 /// tells whether it had crashed.
 const LOSS_MEMORY: MilliSpan = MilliSpan::new(60_000);
 
-/// How long a task that is almost certainly guilty waits for a worker without runs.
-const VACANT_WAIT: MilliSpan = MilliSpan::new(30_000);
+/// How long a worker that takes only suspected tasks may need until it has no other runs.
+const EMPTY_TIMEOUT: MilliSpan = MilliSpan::new(4_000);
 
-/// At most one in this many workers starts suspected tasks at a time, unless more are
-/// without runs.
+/// With more than this part of the room free, in thousandths, workers that have crashed are
+/// used for further suspects once they are back.
+const MOSTLY_FREE_PERMILLE: usize = 500;
+
+/// A suspected task starts beside at most this many runs, which its crash would end.
+const MAX_TRIAL_NEIGHBOURS: usize = 2;
+
+/// One in this many workers may start suspected tasks at a time, whatever room is free.
 const MAX_APART_DIVISOR: usize = 12;
 
+/// Beyond that, suspected tasks use one part in this many of the room that is free.
+const ROOM_DIVISOR: usize = 2;
+
 /// A worker whose runs were requeued without knowing whether it had crashed.
 #[derive(Debug)]
 pub(super) struct LostWorker {
@@ -33,13 +42,20 @@
 }
 
 /// The workers on which suspected tasks are starting.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(super) struct TrialUsage {
-    /// All known workers.
+    /// The workers that take runs.
     workers: usize,
+    /// The workers of which it is not known yet whether a suspect does harm there.
     pub(super) apart: usize,
+    /// The further workers on which a suspect stays apart until it ends.
+    pub(super) long: usize,
     /// The workers that take runs and have none.
     pub(super) vacant: usize,
+    /// The free resources of all workers that take runs.
+    free: ResourceAmount,
+    /// The capacity of all workers that take runs.
+    capacity: ResourceAmount,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -110,6 +126,9 @@
         self.dirty.insert(run.job);
         job.tasks[run.index].lost_at = self.now;
         let history = job.tasks[run.index].crashes;
+        if history.is_suspect {
+            self.suspect_jobs.insert(run.job);
+        }
         let start_text: &str = run.loss.start.into();
         log::info!(
             task:% = job.name_of(run.index),
@@ -191,6 +210,9 @@
         for row in record.tasks {
             match job.tasks.get_mut(row.task as usize) {
                 Some(task) => {
+                    if row.is_suspect {
+                        self.suspect_jobs.insert(key);
+                    }
                     task.crashes = row.into();
                     task.lost_at = self.now;
                 }
@@ -310,18 +332,27 @@
         self.takes_runs(worker) && worker.apart_job.is_none_or(|apart| apart == job_key)
     }
 
-    /// Returns whether a suspected task may start on a worker. One that was the only
-    /// suspect before is almost certainly guilty, and waits for a worker without runs
-    /// for a while.
+    /// Returns whether a suspected task may start on a worker: one without runs, or one
+    /// that takes no other tasks, once it has few runs or does not run empty. A task that
+    /// was the only suspect before is almost certainly guilty, and does not start beside a
+    /// few runs.
     pub(super) fn is_worker_for_suspect(
         &self,
         job_key: JobKey,
         index: usize,
-        worker: &WorkerState,
+        worker_key: WorkerKey,
     ) -> bool {
-        let task = &self.jobs[job_key].tasks[index];
-        let may_harm = task.crashes.sole_losses == 0 || self.now.since(task.lost_at) >= VACANT_WAIT;
-        self.is_calm_for(job_key, worker) && (may_harm || worker.runs.is_empty())
+        let worker = &self.workers[worker_key];
+        if worker.runs.is_empty() || worker.apart_job == Some(job_key) {
+            return true;
+        }
+        let Some(chosen_at) = self.trial_workers.get(&worker_key) else {
+            return false;
+        };
+        let crashes = self.jobs[job_key].tasks[index].crashes;
+        let has_few_runs = worker.runs.len() <= MAX_TRIAL_NEIGHBOURS && crashes.sole_losses == 0;
+        let is_allowed = has_few_runs || self.now.since(*chosen_at) >= EMPTY_TIMEOUT;
+        is_allowed && self.is_calm_for(job_key, worker)
     }
 
     /// Returns whether a crash of a worker could not be due to a run of another job than
@@ -330,36 +361,54 @@
         let mut others = worker.runs.iter().filter(|((job, _), _)| *job != job_key);
         others.all(|((job, index), run)| {
             let history = &self.jobs[*job].tasks[*index].crashes;
-            history.losses == 0 && worker.start_status(run) == StartStatus::Settled
+            !history.is_suspect && worker.start_status(run) == StartStatus::Settled
         })
     }
 
-    /// Returns on how many further workers suspected tasks may start.
-    pub(super) fn spare_for_suspects(&self) -> usize {
-        let usage = self.trial_usage();
-        usage.limit().saturating_sub(usage.apart)
-    }
-
     /// Returns how many workers suspected tasks use, and may use.
     pub(super) fn trial_usage(&self) -> TrialUsage {
-        let workers = self.workers.values();
-        let apart = workers.filter(|worker| worker.apart_job.is_some());
-        let vacant = self
-            .workers
-            .values()
-            .filter(|worker| worker.runs.is_empty() && self.takes_runs(worker));
-        TrialUsage {
-            workers: self.workers.len(),
-            apart: apart.count(),
-            vacant: vacant.count(),
+        let mut usage = TrialUsage::default();
+        for worker in self.workers.values() {
+            let is_open = worker.has_open_trial();
+            usage.apart += usize::from(is_open);
+            usage.long += usize::from(worker.apart_job.is_some() && !is_open);
+            if self.takes_runs(worker) {
+                usage.workers += 1;
+                usage.vacant += usize::from(worker.runs.is_empty());
+                usage.free += worker.free();
+                usage.capacity += worker.report.capacity;
+            }
         }
+        usage
     }
 }
 
 impl TrialUsage {
     /// Returns on how many workers suspected tasks may start at a time.
     pub(super) fn limit(&self) -> usize {
-        let vacant = self.vacant - self.vacant / 4;
-        (self.workers / MAX_APART_DIVISOR).max(vacant).max(1)
+        let free_permille = 1_000 - self.used_permille();
+        let by_room = self.workers * free_permille / 1_000 / ROOM_DIVISOR;
+        // Beside much other work, crashed workers have to be of use to it once they are back.
+        let vacant = if free_permille > MOSTLY_FREE_PERMILLE {
+            self.vacant + self.apart
+        } else {
+            self.vacant
+        };
+        let by_vacant = vacant - vacant / 4;
+        let least = self.workers / MAX_APART_DIVISOR;
+        least.max(by_room).max(by_vacant).max(1)
+    }
+
+    /// Returns on how many further workers suspected tasks may start.
+    pub(super) fn spare(&self) -> usize {
+        self.limit().saturating_sub(self.apart)
+    }
+
+    /// Returns the part of the capacity that is in use, of the resource that is used the
+    /// most.
+    fn used_permille(&self) -> usize {
+        let used = self.capacity.saturating_sub(&self.free);
+        let share = used.dominant_share_ppm(&self.capacity) / 1_000;
+        usize::try_from(share).unwrap_or(1_000).min(1_000)
     }
 }
--- a/crates/pimentochute-work/src/cell/place.rs
+++ b/crates/pimentochute-work/src/cell/place.rs
@@ -88,20 +88,16 @@
         spec: &StepSpec,
         plan: &mut RoundPlan,
     ) {
-        let suspects = self.waiting_suspects(job_key, step_index);
-        if suspects.is_empty() && !plan.may_fit(&spec.demand) {
+        if !plan.may_fit(&spec.demand) {
             return;
         }
         let team = self.jobs[job_key].submission.team.clone();
-        let mut rows = self.step_workers(job_key, step_index, terms, spec, plan);
-        if !suspects.is_empty() {
-            self.place_suspects(job_key, &suspects, spec, &mut rows, plan);
-        }
-        rows.retain(|row| {
-            let is_apart = self.workers[row.worker_key].apart_job.is_some();
+        let mut usable = self.step_workers(job_key, step_index, terms, spec, plan);
+        usable.retain(|row| {
+            let is_apart = self.workers[row.worker_key].apart_job.is_some()
+                || self.trial_workers.contains_key(&row.worker_key);
             row.slots > 0 && row.may_start && !is_apart
         });
-        let mut usable = rows;
         for index in self.jobs[job_key].task_range(step_index) {
             let task = &self.jobs[job_key].tasks[index];
             if task.placement != TaskPlacement::Waiting || task.crashes.is_suspect {
@@ -117,12 +113,11 @@
             let run = self.jobs[job_key].tasks[index].run + 1;
             self.place_task_run(job_key, index, worker, run, spec.demand);
         }
-        let suspects = self.waiting_suspects(job_key, step_index);
+        let suspects = self.waiting_suspects(job_key, step_index).len();
         let waiting = self.jobs[job_key].steps[step_index].waiting;
+        let waiting = waiting.saturating_sub(u32::try_from(suspects).unwrap_or(u32::MAX));
         if waiting > 0 {
-            let only_suspects = suspects.len() == waiting as usize;
-            let first_suspect = suspects.first().copied().filter(|_| only_suspects);
-            self.request_for_tasks(job_key, step_index, terms, spec, first_suspect, plan);
+            self.request_for_tasks(job_key, step_index, terms, spec, waiting, plan);
         }
     }
 
@@ -257,20 +252,17 @@
         u32::try_from(here).unwrap_or(u32::MAX)
     }
 
-    /// Requests advice for the tasks of a step that is not a gang: again about the
-    /// eligible workers with free resources, or else about new ones. `first_suspect` is
-    /// set if only suspected tasks wait.
+    /// Requests advice for the `waiting` tasks of a step that is not a gang: again about
+    /// the eligible workers with free resources, or else about new ones.
     fn request_for_tasks(
         &mut self,
         job_key: JobKey,
         step_index: usize,
         terms: &QueueTerms,
         spec: &StepSpec,
-        first_suspect: Option<usize>,
+        waiting: u32,
         plan: &mut RoundPlan,
     ) {
-        let only_suspects = first_suspect.is_some();
-        let waiting = self.jobs[job_key].steps[step_index].waiting;
         let advice = &self.jobs[job_key].steps[step_index].advice;
         if terms.advice.is_none() {
             return;
@@ -282,25 +274,18 @@
         if advice.retry_at > self.now || !self.may_request(terms, plan) {
             return;
         }
-        let first_suspect = first_suspect.filter(|_| self.spare_for_suspects() > 0);
-        if only_suspects && first_suspect.is_none() {
-            return;
-        }
         let has_capacity = |worker_key: &WorkerKey| {
             self.workers.get(*worker_key).is_some_and(|worker| {
                 matches_step(worker, terms, spec)
                     && self.takes_runs_of(job_key, worker)
                     && !plan.reserved.contains(worker_key)
+                    && !self.trial_workers.contains_key(worker_key)
                     && spec.demand.fits_within(&worker.free())
-                    && first_suspect
-                        .is_none_or(|index| self.is_worker_for_suspect(job_key, index, worker))
             })
         };
-        // A suspect that waits for other reasons keeps its tickets.
         let known: Vec<_> = advice
             .eligible
             .iter()
-            .filter(|row| first_suspect.is_none() || row.valid_until <= self.now)
             .map(|row| row.worker)
             .filter(has_capacity)
             .collect();
--- a/crates/pimentochute-work/src/cell/place_gang.rs
+++ b/crates/pimentochute-work/src/cell/place_gang.rs
@@ -70,7 +70,11 @@
             self.hold_cap(team, all, plan);
             return;
         }
+        let suspects = self.waiting_suspects(job_key, step_index);
         let mut rows = self.step_workers(job_key, step_index, terms, spec, plan);
+        if suspects.is_empty() {
+            rows.retain(|row| !self.trial_workers.contains_key(&row.worker_key));
+        }
         if spec.prefers_one_rack {
             self.keep_best_rack(&mut rows, spec.tasks);
         }
@@ -79,7 +83,6 @@
             .filter(|row| row.may_start)
             .map(|row| row.slots)
             .sum();
-        let suspects = self.waiting_suspects(job_key, step_index);
         if ready >= spec.tasks {
             rows.retain(|row| row.may_start && row.slots > 0);
             if suspects.is_empty() {
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -81,14 +81,16 @@
     fn send_poll(&mut self, worker_key: WorkerKey) {
         let may_extend = self.may_extend_leases();
         let (policy, now) = (self.policy, self.now);
+        let is_for_trials = self.trial_workers.contains_key(&worker_key);
         let worker = &mut self.workers[worker_key];
         let lease = &mut worker.lease;
         // A worker without runs needs no lease. Without control, the owner has
         // to know the worker's runs before it extends their lease.
         let extends = may_extend && lease.has_control && !worker.runs.is_empty();
         let until = extends.then(|| lease.extend(&policy.lease, now)).flatten();
-        // The answer about a suspected task is awaited by others.
-        let waits = lease.has_control && !worker.runs.is_empty() && worker.apart_job.is_none();
+        // Suspected tasks wait for the answer, also to start.
+        let is_awaited = is_for_trials || worker.apart_job.is_some();
+        let waits = lease.has_control && !worker.runs.is_empty() && !is_awaited;
         lease.is_polling = true;
         let command = PollCommand {
             worker: worker_key,
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -100,6 +100,7 @@
             max_free: self.max_free(),
             ..RoundPlan::default()
         };
+        self.place_suspects(&mut plan);
         let free = self.total_free();
         for rank in self.ranked_backlog() {
             let job = &self.jobs[rank.key];
--- a/crates/pimentochute-work/src/cell/suspect_usage.rs
+++ b/crates/pimentochute-work/src/cell/suspect_usage.rs
@@ -28,8 +28,14 @@
 }
 
 impl WorkCell {
+    /// Returns the number of suspected tasks that waited when the usage was last logged.
+    #[must_use]
+    pub const fn suspects_waiting(&self) -> usize {
+        self.suspects_waiting
+    }
+
     /// Logs how many suspected tasks wait, and why, if there are any.
-    pub(super) fn log_suspects(&self) {
+    pub(super) fn log_suspects(&mut self) {
         let mut waits = [0_usize; SuspectWait::COUNT];
         let mut oldest = self.now;
         for job_key in &self.backlog {
@@ -46,6 +52,7 @@
             }
         }
         let waiting: usize = waits.iter().sum();
+        self.suspects_waiting = waiting;
         let usage = self.trial_usage();
         if waiting == 0 && usage.apart == 0 {
             return;
@@ -60,6 +67,7 @@
             reasons = reasons.collect::<Vec<_>>().join(" "),
             apart = usage.apart,
             limit = usage.limit(),
+            chosen = self.trial_workers.len(),
             vacant = usage.vacant,
             calm = self.calm_workers();
             "cell: suspects"
@@ -82,12 +90,10 @@
         if rows.peek().is_none() {
             return SuspectWait::Room;
         }
-        if self.spare_for_suspects() == 0 {
+        if self.trial_usage().spare() == 0 {
             return SuspectWait::Trials;
         }
-        let is_calm = |row: &StepWorker| {
-            self.is_worker_for_suspect(job_key, index, &self.workers[row.worker_key])
-        };
+        let is_calm = |row: &StepWorker| self.is_worker_for_suspect(job_key, index, row.worker_key);
         if rows.any(|row| is_calm(&row)) {
             SuspectWait::Tickets
         } else {
--- a/crates/pimentochute-work/src/crash.rs
+++ b/crates/pimentochute-work/src/crash.rs
@@ -139,10 +139,15 @@
             || self.losses >= MAX_LOSSES && self.sole_losses >= MAX_SOLE_LOSSES
     }
 
+    /// Returns whether the task has to stay apart until it ends.
+    pub(crate) const fn is_long_suspect(&self) -> bool {
+        self.losses >= SUSPECT_LOSSES
+    }
+
     /// Returns whether a suspect may run beside other jobs after `answered` since its
     /// start, for which its worker has answered.
     pub(crate) fn is_cleared_after(&self, answered: MilliSpan) -> bool {
-        self.losses < SUSPECT_LOSSES && answered >= START_CRASH_WINDOW
+        !self.is_long_suspect() && answered >= START_CRASH_WINDOW
     }
 
     /// Returns the record of the task with this index; `None` if there is nothing to
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -268,6 +268,11 @@
             .all(|after| self.steps[occurrence * steps + usize::from(*after)].unfinished == 0)
     }
 
+    /// Returns whether a task is suspected of crashing its workers.
+    pub(crate) fn has_suspects(&self) -> bool {
+        self.tasks.iter().any(|task| task.crashes.is_suspect)
+    }
+
     /// Returns the time by which the job should end, since the Unix epoch. The
     /// time of failed runs counts as work of the job.
     pub(crate) fn objective(&self, terms: &QueueTerms) -> MilliTime {
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -327,6 +327,13 @@
         }
     }
 
+    /// Returns whether a suspected task has started here or is about to, and the worker
+    /// has not answered since for long enough to show that it does no harm.
+    pub(crate) fn has_open_trial(&self) -> bool {
+        let mut apart = self.runs.values().filter(|run| run.is_apart);
+        self.apart_job.is_some() && apart.any(|run| self.start_status(run) != StartStatus::Settled)
+    }
+
     /// Updates `apart_job` after a change of the runs.
     pub(crate) fn update_apart_job(&mut self) {
         let mut apart = self.runs.iter().filter(|(_, run)| run.is_apart);
