--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -92,6 +92,7 @@
             committed_mib = committed.memory_mib;
             "cell: usage"
         );
+        self.log_suspects();
     }
 
     fn place_backlog(&mut self) {
@@ -99,6 +100,7 @@
             max_free: self.max_free(),
             ..RoundPlan::default()
         };
+        self.place_suspects(&mut plan);
         let free = self.total_free();
         for rank in self.ranked_backlog() {
             let job = &self.jobs[rank.key];
