Log each aborted call and each unknown job of the entry hosts

A host that stopped logged only how many calls it aborted, before it waited for them for another 0.7 s, and an answer that a job is unknown left no line of the owner. Each call that the end of the process aborts now has a line with its label and age (at most 50), and each unknown job one with the epoch and age of the term and the offset read.

--- a/crates/pimentochute-edge/src/daemon.rs
+++ b/crates/pimentochute-edge/src/daemon.rs
@@ -41,6 +41,9 @@
 /// ended.
 const END_TIMEOUT: MilliSpan = MilliSpan::new(700);
 
+/// The maximum number of aborted calls that are logged one by one.
+const MAX_LOGGED_CALLS: usize = 50;
+
 /// The idle timeout of a connection. It is longer than that of the platform's
 /// callers, which would otherwise send requests on closed connections.
 const IDLE_TIMEOUT: MilliSpan = MilliSpan::new(75_000);
@@ -172,9 +175,22 @@
         log::info!("daemon: some tasks did not end within {END_TIMEOUT}, exiting anyway");
         Ok(())
     })?;
+    log_aborted_calls(&context);
     Ok(())
 }
 
+/// Logs the calls that the end of the process aborts: their callers get no
+/// answer.
+fn log_aborted_calls(context: &EdgeContext) {
+    let calls = context.gate.in_flight();
+    let now = context.clock.now();
+    for call in calls.iter().take(MAX_LOGGED_CALLS) {
+        let age = now.since(call.started_at);
+        log::warn!(call:% = call.label, age:%; "daemon: a call is aborted");
+    }
+    log::info!(aborted_calls = calls.len(); "daemon: the process ends");
+}
+
 /// Stops the parts in order: first the term as owner and the readiness check,
 /// then the listener for callers, then everything else.
 async fn stop(context: &EdgeContext, servers: &EdgeServers, tokens: &StopTokens) {
@@ -195,8 +211,8 @@
         .await
         .is_err()
     {
-        let cut = context.gate.in_flight().len();
-        log::warn!("daemon: {cut} calls are aborted: the grace period of {grace} ends");
+        let open_calls = context.gate.in_flight().len();
+        log::warn!(open_calls, grace:%; "daemon: calls are still open near the end of the grace period");
     }
     tokens.rest.cancel();
     log::info!("daemon: the listener for callers is closed, stopping the remaining tasks");
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -49,6 +49,8 @@
     pub(super) cell: WorkCell,
     heartbeat: OwnerHeartbeat,
     epoch: EpochNumber,
+    /// When the cell was loaded.
+    began_at: MilliTime,
     /// The number of the next append.
     next_sequence: u64,
     events: mpsc::Sender<TermEvent>,
@@ -100,12 +102,14 @@
         heartbeat: OwnerHeartbeat,
     ) -> Self {
         let clock = owner.context.clock.clone();
+        let began_at = clock.now();
         let outage = OutageLog::new("owner: writing to the log", clock);
         Self {
             owner,
             cell,
             heartbeat,
             epoch,
+            began_at,
             next_sequence: 1,
             events,
             replies: BTreeMap::new(),
@@ -228,6 +232,13 @@
     /// retries.
     fn recheck_unknown(&self, call: JobCall, to_input: fn(JobCall) -> CellInput) {
         if call.intake_was_read {
+            log::info!(
+                job:% = call.query.job,
+                epoch:% = self.epoch,
+                term_age:% = self.owner.context.clock.now().since(self.began_at),
+                intake_offset = self.intake_offset.load(Ordering::SeqCst);
+                "owner: a job is unknown"
+            );
             send_reply(call.reply, OwnerAnswer::Unknown);
             return;
         }
