Answer the calls that still wait when a stopping host ends

Callers saw connections that closed without an answer seconds after a whole request was sent, around the SIGTERM of their host: calls that arrive up to 3.3 s after the signal wait for an owner until their own deadline, but the process ended 5.5 s after the signal and dropped them. With a deadline of 3 s this hits calls that are sent 2.75 s or later after the signal; with a deadline of 6 s all of them, as long as no host owns the cell.

The class: work is taken with a time limit that the end of the process does not know of. Near the end of the grace period a token now ends the waiting of all calls at once: they are answered as not served (503), submissions as possibly accepted (504), and 0.2 s remain for sending the answers before the parts that answer them are stopped. It doesn't depend on why an answer is missing.

--- a/crates/pimentochute-edge/src/caller_api.rs
+++ b/crates/pimentochute-edge/src/caller_api.rs
@@ -96,7 +96,12 @@
     async fn handle(&self, request: Request) -> Response<Body> {
         let method = request.method().clone();
         let path = request.path().to_owned();
-        match self.dispatch(request).await {
+        let result = tokio::select! {
+            biased;
+            result = self.dispatch(request) => result,
+            () = self.context.answers_due.cancelled() => Err(CallRefusal::unanswered(&method)),
+        };
+        match result {
             Ok(response) => response,
             Err(refusal) => {
                 let (status, reason) = refusal.status_and_reason();
@@ -273,6 +278,15 @@
 }
 
 impl CallRefusal {
+    /// Returns the refusal of a call that is given up before its outcome is known.
+    fn unanswered(method: &Method) -> Self {
+        if *method == Method::POST {
+            Self::OutcomeUnknown
+        } else {
+            Self::NoOwner
+        }
+    }
+
     // These texts are part of the answers to callers; do not reword them.
     const fn status_and_reason(self) -> (StatusCode, &'static str) {
         match self {
--- a/crates/pimentochute-edge/src/context.rs
+++ b/crates/pimentochute-edge/src/context.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
 use pimentochute_base::MilliClock;
-use pimentochute_server::{DrainState, Metrics};
+use pimentochute_server::{CancellationToken, DrainState, Metrics};
 
 use crate::edge_metrics::EdgeMetrics;
 use crate::settings::PrescribedTimes;
@@ -21,6 +21,9 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) counters: EdgeMetrics,
     pub(crate) gate: Arc<DrainState>,
+    /// Cancelled shortly before the process ends: the calls of callers that still
+    /// wait then are answered with what is known.
+    pub(crate) answers_due: CancellationToken,
     pub(crate) ports: EdgePorts,
     /// The member name of this incarnation of the host in the group.
     pub(crate) member: Arc<str>,
--- a/crates/pimentochute-edge/src/daemon.rs
+++ b/crates/pimentochute-edge/src/daemon.rs
@@ -33,10 +33,14 @@
 /// listener: two check intervals of one second, and the time of the calls.
 const DRAIN_DELAY: MilliSpan = MilliSpan::new(2_300);
 
-/// The part of the grace period that is reserved for ending the process after
-/// the calls of callers have ended.
+/// The part of the grace period that is reserved for answering the calls of callers
+/// that still wait, and for ending the process.
 const STOP_RESERVE: MilliSpan = MilliSpan::new(1_200);
 
+/// The timeout for sending the answers of calls that still wait near the end of the
+/// grace period.
+const ANSWER_TIMEOUT: MilliSpan = MilliSpan::new(200);
+
 /// The timeout for stopping the remaining parts after the calls of callers have
 /// ended.
 const END_TIMEOUT: MilliSpan = MilliSpan::new(700);
@@ -121,6 +125,7 @@
         counters: EdgeMetrics::new(metrics.meter()),
         metrics,
         gate: Arc::new(DrainState::new(clock.clone())),
+        answers_due: CancellationToken::new(),
         member: Arc::from(MemberName::format(
             &settings.host,
             &settings.peer_address().to_string(),
@@ -192,7 +197,8 @@
 }
 
 /// Stops the parts in order: first the term as owner and the readiness check,
-/// then the listener for callers, then everything else.
+/// then the listener for callers, then everything else. Calls that no owner has
+/// answered by the end of the grace period get an answer that says so.
 async fn stop(context: &EdgeContext, servers: &EdgeServers, tokens: &StopTokens) {
     log::info!(
         "daemon: SIGTERM, {} calls in flight",
@@ -206,13 +212,17 @@
     let left = grace
         .saturating_sub(DRAIN_DELAY)
         .saturating_sub(STOP_RESERVE);
-    let finished = servers.callers.finished();
-    if tokio::time::timeout(left.as_duration(), finished)
-        .await
-        .is_err()
-    {
+    let finished = async |timeout: MilliSpan| {
+        let finished = servers.callers.finished();
+        tokio::time::timeout(timeout.as_duration(), finished)
+            .await
+            .is_ok()
+    };
+    if !finished(left).await {
         let open_calls = context.gate.in_flight().len();
         log::warn!(open_calls, grace:%; "daemon: calls are still open near the end of the grace period");
+        context.answers_due.cancel();
+        finished(ANSWER_TIMEOUT).await;
     }
     tokens.rest.cancel();
     log::info!("daemon: the listener for callers is closed, stopping the remaining tasks");
