Serve calls that a stopping host received during a stall

Callers of a host that stalled while it stopped (stopped by a signal, or without processor time) saw connections that closed although their whole request had been sent long before. When the process runs again, the call in the socket and the end of the linger timeout are due at once, and the connection chose between them at random; the second choice closes it with the call unread.

Evidence: calls_that_arrive_during_a_stall_of_the_stop_are_answered, with 40 calls sent during a stall of 1.5 s that begins after the listener closed.

The class: two causes for an end that are ready together after a stall, one of which loses work. The connection is now polled first. This holds for serve and edge, which share the server.

--- a/crates/pimentochute-server/src/http_server/connection.rs
+++ b/crates/pimentochute-server/src/http_server/connection.rs
@@ -162,7 +162,10 @@
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     pin_mut!(connection);
+    // After a stall of the process, a call in the socket and the end of the linger
+    // timeout are due at once; the call goes first.
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
         () = tokio::time::sleep(REFUSING_TIMEOUT), if refuses => Ok(()),
         () = linger_elapsed(&close), if !refuses => {
--- a/tests/tests/server_drain.rs
+++ b/tests/tests/server_drain.rs
@@ -77,6 +77,35 @@
     drop(idle);
 }
 
+/// Guards against connections that are closed with a call in the socket, because
+/// the call and the end of the connection are due at once after a stall of the
+/// process.
+#[tokio::test]
+async fn calls_that_arrive_during_a_stall_of_the_stop_are_answered() {
+    let daemon = TestDaemon::start(json!({"drain": {"drain_delay_ms": 10}})).await;
+    let mut streams = Vec::new();
+    for _ in 0..40 {
+        streams.push(TcpStream::connect(daemon.public).await.expect("connects"));
+    }
+    daemon.stop().await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let text = "POST /v1/requests HTTP/1.1\r\nhost: a\r\nx-queue: open-prices\r\n\
+                content-length: 2\r\n\r\nhi";
+    for stream in &mut streams {
+        stream.write_all(text.as_bytes()).await.expect("writes");
+    }
+    // The daemon runs on this thread.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let mut answered = 0;
+    for stream in &mut streams {
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer).await;
+        answered += usize::from(read.is_ok() && answer.ends_with("echo hi"));
+    }
+    assert_eq!(answered, streams.len());
+    assert_eq!(wait_for_end(daemon).await, DaemonEnd::Clean);
+}
+
 /// Guards against a stop that never ends, and checks that the interrupted calls
 /// are counted.
 #[tokio::test]
