Confirm the owner's term before it answers that a job is unknown

A caller's GET or DELETE of an accepted job could be answered 410: a former owner that has not read its successor's claim yet looked only at its own cell and at the jobs that hosts appended themselves, not at those that the successor had accepted. That needs a read of the claims that is late, for example on a connection that went silent, which is noticed after 6.2 s only.

Evidence: a_replaced_owner_does_not_report_the_jobs_of_its_successor_as_unknown, with the reads of the claims delayed by 4 s. After: 200 with the state, since the check also shows the former owner that it was replaced. The state is constructed; no run with real processes has shown it.

The class: a negative answer from state that may be out of date. The owner now reads the newest claim and the intake topic, both after the call arrived, and answers only if the claim is its own. Jobs accepted before the call are then in its cell or among the records that it read. Positive answers need no check.

--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -186,6 +186,14 @@
         Ok(next)
     }
 
+    /// Reads the newest claim from the log, and returns whether it is that of this
+    /// host with `epoch`. If so, no other host was the owner before this call.
+    pub(crate) async fn confirm(&self, epoch: EpochNumber) -> Result<bool, StoreError> {
+        self.read_next(None).await?;
+        let is_newest = self.newest().is_some_and(|claim| claim.epoch == epoch);
+        Ok(is_newest && self.is_owner())
+    }
+
     /// Records the claim and the end of the topic. An older end or epoch is
     /// ignored.
     fn update(&self, claim: Option<OwnerClaim>, end: u64) {
--- a/crates/pimentochute-edge/src/owner/local_owner.rs
+++ b/crates/pimentochute-edge/src/owner/local_owner.rs
@@ -63,9 +63,9 @@
 pub(crate) struct JobCall {
     pub(crate) query: JobQuery,
     pub(crate) reply: oneshot::Sender<OwnerAnswer>,
-    /// The owner had read the intake topic up to its end after the call
-    /// arrived, so a job that is still unknown does not exist.
-    pub(crate) intake_was_read: bool,
+    /// After the call arrived, the owner was confirmed as such and had read the
+    /// intake topic up to its end, so a job that is still unknown does not exist.
+    pub(crate) was_checked: bool,
 }
 
 impl LocalOwner {
@@ -146,7 +146,7 @@
         Self {
             query,
             reply,
-            intake_was_read: false,
+            was_checked: false,
         }
     }
 }
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -224,14 +224,15 @@
         }
     }
 
-    /// Answers that a job does not exist, but only once the intake topic has been
-    /// read to its end: a host may have appended the job itself, and the owner
-    /// may not have read it yet. If there are no further records, the call is
-    /// queued again behind the jobs that were read in the meantime. Otherwise
-    /// the answer is `OwnerAnswer::NotOwner`, after which the caller's host
-    /// retries.
+    /// Answers that a job does not exist, but only once this term is confirmed and
+    /// the intake topic has been read to its end, both after the call arrived. A
+    /// newer owner may have accepted the job; or a host may have appended it
+    /// itself, and this owner may not have read it yet. If there are no further
+    /// records, the call is queued again behind the jobs that were read in the
+    /// meantime. Otherwise the answer is `OwnerAnswer::NotOwner`, after which the
+    /// caller's host retries.
     fn recheck_unknown(&self, call: JobCall, to_input: fn(JobCall) -> CellInput) {
-        if call.intake_was_read {
+        if call.was_checked {
             log::info!(
                 job:% = call.query.job,
                 epoch:% = self.epoch,
@@ -248,12 +249,16 @@
         };
         let store = Arc::clone(&self.owner.context.ports.store);
         let next = Arc::clone(&self.intake_offset);
+        let claims = self.owner.claims.clone();
+        let epoch = self.epoch;
         self.spawn(async move {
             let from = next.load(Ordering::SeqCst);
-            let page = store.read(INTAKE_TOPIC, from, MilliSpan::ZERO).await;
-            if page.is_ok_and(|page| page.records.is_empty()) {
+            let page = store.read(INTAKE_TOPIC, from, MilliSpan::ZERO);
+            let (is_owner, page) = futures::join!(claims.confirm(epoch), page);
+            let is_read = page.is_ok_and(|page| page.records.is_empty());
+            if is_read && is_owner.unwrap_or(false) {
                 let rechecked = JobCall {
-                    intake_was_read: true,
+                    was_checked: true,
                     ..call
                 };
                 // If the term has ended, the reply channel is dropped and the
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -8,6 +8,7 @@
 use pimentochute_server::log_dispatch;
 use pimentochute_server::settings::LoggingSettings;
 use pimentochute_tests::{EdgeCell, EdgePlatform, EdgeReply, StoreFault};
+use pimentochute_work::encode_record;
 
 const JOB: &str = r#"{"spec":"t","steps":[{"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":200}]}"#;
 const KEY: &str = "secret";
@@ -375,6 +376,26 @@
     .await;
 }
 
+/// A replaced owner that has not read its successor's claim yet must not answer
+/// "there is no such job" for a job that the successor accepted.
+#[tokio::test]
+async fn a_replaced_owner_does_not_report_the_jobs_of_its_successor_as_unknown() {
+    let platform = EdgePlatform::new(0, MilliSpan::new(100));
+    let cell = cell(&platform).await;
+    let owner = cell.owner().expect("a host owns the cell");
+    assert_eq!(submit(&cell, owner, 1).await.status, 200);
+    platform.delay_reads("keyed.cells", Some(MilliSpan::new(4_000)));
+    let epoch = 100_u64;
+    let claim = (epoch, "other@127.0.0.1:1/1000/1", "127.0.0.1:1", "");
+    let claim = encode_record(&claim).expect("the claim can be encoded");
+    platform.write_record("keyed.cells", "cell-0", &claim);
+    let submission = cell.encoded_submission(JOB);
+    platform.write_record("keyed.progress", "0000000000000002.s", &submission);
+    let reply = cell.call(owner, Method::GET, &path(2), KEY, "").await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert!(reply.body.contains("queued"), "{}", reply.body);
+}
+
 /// With more members than partitions, the group does not list every member. An
 /// owner that is missing in the list must not be replaced for that.
 #[tokio::test]
