Read the claim again when the known owner does not answer

At a host whose blocking read of the claims sat on a connection that had gone silent, callers got 503 for seconds after a change of owner: the host asked the former owner, or waited for a new claim, until that read timed out (5 s and 1.2 s), and longer if the next connection of the pool was silent too. Only a host whose reads of the configuration had failed as well learnt of the new owner from the others.

Evidence: a_host_without_a_new_claim_finds_the_next_owner, with these reads delayed by 10 s and the owner killed. Before: no state from the third host within 3 s of the new claim. After: shown.

The class: waiting on one connection for news that may be lost with it. A host that gets no answer from the known owner now reads the newest claim with a call of its own, at most once a second.

--- a/crates/pimentochute-edge/src/claim.rs
+++ b/crates/pimentochute-edge/src/claim.rs
@@ -31,6 +31,9 @@
 /// The delay before a failed read is retried.
 const RETRY_DELAY: MilliSpan = MilliSpan::new(150);
 
+/// The shortest time between two reads because the known owner does not answer.
+const REFRESH_INTERVAL: MilliSpan = MilliSpan::new(1_000);
+
 /// The interval at which a host checks whether it should claim the cell.
 const CHECK_INTERVAL: MilliSpan = MilliSpan::new(100);
 
@@ -90,6 +93,8 @@
     group: HostGroup,
     view: watch::Sender<ClaimView>,
     detector: Arc<Mutex<FailureDetector>>,
+    /// When the last read by [`ClaimFeed::refresh`] began; locked during the read.
+    refreshed_at: Arc<tokio::sync::Mutex<Option<MilliTime>>>,
 }
 
 impl ClaimFeed {
@@ -99,6 +104,7 @@
             group,
             view: watch::Sender::new(ClaimView::default()),
             detector: Arc::default(),
+            refreshed_at: Arc::default(),
         }
     }
 
@@ -186,6 +192,23 @@
         Ok(next)
     }
 
+    /// Reads the newest claim from the log beside the blocking read, whose connection
+    /// may have gone silent. Does nothing if such a read is open or began within
+    /// [`REFRESH_INTERVAL`].
+    pub(crate) async fn refresh(&self) {
+        let Ok(mut refreshed_at) = self.refreshed_at.try_lock() else {
+            return;
+        };
+        let now = self.context.clock.now();
+        if refreshed_at.is_some_and(|at| now.since(at) < REFRESH_INTERVAL) {
+            return;
+        }
+        *refreshed_at = Some(now);
+        if let Err(error) = self.read_next(None).await {
+            log::debug!(error:%; "claim: reading the newest claim failed");
+        }
+    }
+
     /// Reads the newest claim from the log, and returns whether it is that of this
     /// host with `epoch`. If so, no other host was the owner before this call.
     pub(crate) async fn confirm(&self, epoch: EpochNumber) -> Result<bool, StoreError> {
--- a/crates/pimentochute-edge/src/owner_client.rs
+++ b/crates/pimentochute-edge/src/owner_client.rs
@@ -16,6 +16,10 @@
 /// The delay before a request to the owner is retried.
 const RETRY_DELAY: MilliSpan = MilliSpan::new(80);
 
+/// How long a request waits for a new claim while the cell has no owner, before
+/// the newest claim is read again.
+const CLAIM_WAIT: MilliSpan = MilliSpan::new(500);
+
 /// The outcome of forwarding a job to the owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ForwardOutcome {
@@ -70,12 +74,14 @@
                 .ask_owner(&address, FORWARD_PATH, job, timeout);
             asking.await
         };
-        match tokio::time::timeout(timeout.as_duration(), forwarding).await {
-            Ok(Ok(OwnerAnswer::Accepted)) => ForwardOutcome::Accepted,
+        let outcome = match tokio::time::timeout(timeout.as_duration(), forwarding).await {
+            Ok(Ok(OwnerAnswer::Accepted)) => return ForwardOutcome::Accepted,
             Ok(Ok(OwnerAnswer::NotOwner)) => ForwardOutcome::NotTaken,
             Ok(Err(error)) if error.has_no_effect() => ForwardOutcome::NotTaken,
             Ok(Ok(_) | Err(_)) | Err(_) => ForwardOutcome::Unknown,
-        }
+        };
+        self.refresh_claim();
+        outcome
     }
 
     /// Returns the state of a job; `None` if no owner answered before
@@ -102,6 +108,12 @@
         self.ask(PENDING_PATH, &query, deadline, ask_local).await
     }
 
+    /// Reads the newest claim in the background: the cell may have another owner.
+    fn refresh_claim(&self) {
+        let claims = self.claims.clone();
+        tokio::spawn(async move { claims.refresh().await });
+    }
+
     /// Retries a request until an owner answers; all of them are idempotent.
     async fn ask<Q: Serialize, L: Future<Output = OwnerAnswer>>(
         &self,
@@ -119,6 +131,7 @@
                     Some(OwnerAnswer::NotOwner | OwnerAnswer::Unanswered) | None => {}
                     Some(answer) => return answer,
                 }
+                self.refresh_claim();
                 tokio::time::sleep(RETRY_DELAY.as_duration()).await;
             }
         };
@@ -135,7 +148,9 @@
         if self.claims.is_owner() {
             return Some(ask_local().await);
         }
-        let address = wait_for_owner_address(view).await?;
+        let address = wait_for_owner_address(view);
+        let address = tokio::time::timeout(CLAIM_WAIT.as_duration(), address);
+        let address = address.await.ok()??;
         let answer = self
             .peer_client
             .ask_owner(&address, path, query, MilliSpan::ZERO);
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -396,6 +396,28 @@
     assert!(reply.body.contains("queued"), "{}", reply.body);
 }
 
+/// A host whose read of the claims is stuck, for example on a connection that went
+/// silent, must not ask a failed owner until that read times out.
+#[tokio::test]
+async fn a_host_without_a_new_claim_finds_the_next_owner() {
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    let mut cell = cell(&platform).await;
+    let owner = cell.owner().expect("a host owns the cell");
+    assert_eq!(submit(&cell, owner, 1).await.status, 200);
+    platform.delay_reads("keyed.cells", Some(MilliSpan::new(10_000)));
+    cell.kill(owner);
+    until("another host owns the cell", 5, async || {
+        cell.owner().is_some_and(|next| next != owner)
+    })
+    .await;
+    let asked = (0..3).find(|host| ![Some(owner), cell.owner()].contains(&Some(*host)));
+    let asked = asked.expect("a third host");
+    until("the third host shows the job", 3, async || {
+        is_completed(&cell, asked, 1).await
+    })
+    .await;
+}
+
 /// With more members than partitions, the group does not list every member. An
 /// owner that is missing in the list must not be replaced for that.
 #[tokio::test]
