Answer a submission at its deadline while its append is open

A caller whose job waited for an append without an answer got no answer before it stopped waiting: requests for states and cancellations end at the caller's deadline, submissions had a limit only in the sum of the timeouts below them (1 s for the owner and 1.2 s for each append, two of which fit in before the writer looks at the deadline: 3.5 s, against 3 s of the caller).

Evidence: a_job_that_waits_for_the_log_is_answered_before_the_deadline, with the owner killed and a log that does not answer.

The submission now waits up to the caller's deadline as the other calls do; the append goes on, so the answer is that the job may be accepted.

--- a/crates/pimentochute-edge/src/intake.rs
+++ b/crates/pimentochute-edge/src/intake.rs
@@ -44,6 +44,7 @@
 /// them in its next batch, or appends them itself while no owner answers.
 #[derive(Clone)]
 pub(crate) struct JobIntake {
+    context: EdgeContext,
     owner_client: OwnerClient,
     group: HostGroup,
     sender: mpsc::Sender<IntakeItem>,
@@ -88,11 +89,12 @@
     ) -> (Self, IntakeWriter) {
         let (sender, receiver) = mpsc::channel(MAX_WAITING_JOBS);
         let writer = IntakeWriter {
-            context,
+            context: context.clone(),
             group: group.clone(),
             receiver,
         };
         let intake = Self {
+            context,
             owner_client,
             group,
             sender,
@@ -100,7 +102,8 @@
         (intake, writer)
     }
 
-    /// Gets a job into the log and returns the outcome.
+    /// Gets a job into the log and returns the outcome, at `deadline` the one that is
+    /// known by then.
     ///
     /// # Errors
     /// Fails if the job cannot be encoded.
@@ -133,7 +136,12 @@
             log::warn!(job:% = item.code; "intake: the append queue is full or closed");
             return Ok(item.outcome_if_given_up());
         }
-        Ok(outcome_of_append.await.unwrap_or(IntakeOutcome::Unknown))
+        let left = deadline.since(self.context.clock.now());
+        let outcome = tokio::time::timeout(left.as_duration(), outcome_of_append).await;
+        let Ok(Ok(outcome)) = outcome else {
+            return Ok(IntakeOutcome::Unknown);
+        };
+        Ok(outcome)
     }
 }
 
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -418,6 +418,29 @@
     .await;
 }
 
+/// A caller whose job waits for an append without an answer must get its own answer
+/// before it stops waiting. The job may still get into the log.
+#[tokio::test]
+async fn a_job_that_waits_for_the_log_is_answered_before_the_deadline() {
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    let mut cell = cell(&platform).await;
+    let owner = cell.owner().expect("a host owns the cell");
+    cell.kill(owner);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let others = (0..3).filter(|host| *host != owner);
+    let others: Vec<_> = others.collect();
+    for host in &others {
+        platform.set_fault(&format!("host-{host}"), Some(StoreFault::NoAnswer));
+    }
+    let sent_at = Instant::now();
+    let replies = others.iter().map(|host| submit(&cell, *host, 1));
+    let replies = futures::future::join_all(replies).await;
+    let took = sent_at.elapsed();
+    let statuses: Vec<_> = replies.iter().map(|reply| reply.status).collect();
+    assert_eq!(statuses, [504, 504], "after {took:?}");
+    assert!(took < Duration::from_secs(3), "{took:?}");
+}
+
 /// With more members than partitions, the group does not list every member. An
 /// owner that is missing in the list must not be replaced for that.
 #[tokio::test]
