Test calls on open connections around SIGHUP and new configurations

Eight callers with one connection each send 150 calls, while the process gets 30 times a SIGHUP and a new version.

--- a/tests/tests/process_edge_stop.rs
+++ b/tests/tests/process_edge_stop.rs
@@ -75,16 +75,16 @@
     let sent_at = Instant::now();
     let mut answer = Vec::new();
     let reading = async {
-        while !answer.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        loop {
+            if let Some(status) = complete_status(&answer) {
+                return Ok(status);
+            }
             match stream.read_buf(&mut answer).await {
                 Ok(0) => return Err("closed".to_owned()),
                 Ok(_) => {}
                 Err(error) => return Err(error.to_string()),
             }
         }
-        let text = String::from_utf8_lossy(&answer).into_owned();
-        let status = text.split(' ').nth(1).and_then(|code| code.parse().ok());
-        status.ok_or(text)
     };
     let result = tokio::time::timeout(CALL_TIMEOUT, reading).await;
     let result = result.unwrap_or_else(|_| Err("no answer".to_owned()));
@@ -96,6 +96,16 @@
     })
 }
 
+/// Returns the status of an answer once its whole body has arrived.
+fn complete_status(answer: &[u8]) -> Option<u16> {
+    let text = str::from_utf8(answer).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let mut lines = head.lines();
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "))?;
+    (length.parse() == Ok(body.len())).then_some(status)
+}
+
 /// Guards against calls that a stopping host takes, and then cuts without an
 /// answer at the end of the grace period because no owner has answered them.
 #[test_case("GET", 3_000, &[503]; "of a state")]
@@ -141,3 +151,44 @@
         "the grace period is over: {took:?}"
     );
 }
+
+/// Guards against connections that end, or calls without an answer, around a SIGHUP
+/// or a new version of the configuration.
+#[tokio::test]
+async fn signals_and_new_configurations_end_no_connection() {
+    let platform = EdgePlatform::new(1, MilliSpan::new(100));
+    let cell = start_cell(&platform, 1).await;
+    let mut streams = Vec::new();
+    for _ in 0..8 {
+        streams.push(connect(&cell, 0).await);
+    }
+    let changes = async {
+        for version in 2..32 {
+            raise(Signal::SIGHUP).expect("the signal is sent");
+            let config = CONFIG.replace("\"version\":1", &format!("\"version\":{version}"));
+            platform.write_config(&config);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let calls = streams.iter_mut().map(async |stream| {
+        let mut results = Vec::new();
+        for _ in 0..150 {
+            results.push(call(stream, "GET", 3_000, "").await);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        results
+    });
+    let ((), results) = tokio::join!(changes, futures::future::join_all(calls));
+    let results: Vec<_> = results.into_iter().flatten().collect();
+    let failed: Vec<_> = results
+        .iter()
+        .filter(|result| **result != Ok(410))
+        .collect();
+    let first = failed.first();
+    assert!(
+        failed.is_empty(),
+        "{} of {}: {first:?}",
+        failed.len(),
+        results.len()
+    );
+}
