--- a/crates/pimentochute-edge/src/daemon.rs
+++ b/crates/pimentochute-edge/src/daemon.rs
@@ -33,14 +33,21 @@
 /// listener: two check intervals of one second, and the time of the calls.
 const DRAIN_DELAY: MilliSpan = MilliSpan::new(2_300);
 
-/// The part of the grace period that is reserved for ending the process after
-/// the calls of callers have ended.
+/// The part of the grace period that is reserved for answering the calls of callers
+/// that still wait, and for ending the process.
 const STOP_RESERVE: MilliSpan = MilliSpan::new(1_200);
 
+/// The timeout for sending the answers of calls that still wait near the end of the
+/// grace period.
+const ANSWER_TIMEOUT: MilliSpan = MilliSpan::new(200);
+
 /// The timeout for stopping the remaining parts after the calls of callers have
 /// ended.
 const END_TIMEOUT: MilliSpan = MilliSpan::new(700);
 
+/// The maximum number of aborted calls that are logged one by one.
+const MAX_LOGGED_CALLS: usize = 50;
+
 /// The idle timeout of a connection. It is longer than that of the platform's
 /// callers, which would otherwise send requests on closed connections.
 const IDLE_TIMEOUT: MilliSpan = MilliSpan::new(75_000);
@@ -118,6 +125,7 @@
         counters: EdgeMetrics::new(metrics.meter()),
         metrics,
         gate: Arc::new(DrainState::new(clock.clone())),
+        answers_due: CancellationToken::new(),
         member: Arc::from(MemberName::format(
             &settings.host,
             &settings.peer_address().to_string(),
@@ -172,11 +180,25 @@
         log::info!("daemon: some tasks did not end within {END_TIMEOUT}, exiting anyway");
         Ok(())
     })?;
+    log_aborted_calls(&context);
     Ok(())
 }
 
+/// Logs the calls that the end of the process aborts: their callers get no
+/// answer.
+fn log_aborted_calls(context: &EdgeContext) {
+    let calls = context.gate.in_flight();
+    let now = context.clock.now();
+    for call in calls.iter().take(MAX_LOGGED_CALLS) {
+        let age = now.since(call.started_at);
+        log::warn!(call:% = call.label, age:%; "daemon: a call is aborted");
+    }
+    log::info!(aborted_calls = calls.len(); "daemon: the process ends");
+}
+
 /// Stops the parts in order: first the term as owner and the readiness check,
-/// then the listener for callers, then everything else.
+/// then the listener for callers, then everything else. Calls that no owner has
+/// answered by the end of the grace period get an answer that says so.
 async fn stop(context: &EdgeContext, servers: &EdgeServers, tokens: &StopTokens) {
     log::info!(
         "daemon: SIGTERM, {} calls in flight",
@@ -190,13 +212,17 @@
     let left = grace
         .saturating_sub(DRAIN_DELAY)
         .saturating_sub(STOP_RESERVE);
-    let finished = servers.callers.finished();
-    if tokio::time::timeout(left.as_duration(), finished)
-        .await
-        .is_err()
-    {
-        let cut = context.gate.in_flight().len();
-        log::warn!("daemon: {cut} calls are aborted: the grace period of {grace} ends");
+    let finished = async |timeout: MilliSpan| {
+        let finished = servers.callers.finished();
+        tokio::time::timeout(timeout.as_duration(), finished)
+            .await
+            .is_ok()
+    };
+    if !finished(left).await {
+        let open_calls = context.gate.in_flight().len();
+        log::warn!(open_calls, grace:%; "daemon: calls are still open near the end of the grace period");
+        context.answers_due.cancel();
+        finished(ANSWER_TIMEOUT).await;
     }
     tokens.rest.cancel();
     log::info!("daemon: the listener for callers is closed, stopping the remaining tasks");
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -49,6 +49,8 @@
     pub(super) cell: WorkCell,
     heartbeat: OwnerHeartbeat,
     epoch: EpochNumber,
+    /// When the cell was loaded.
+    began_at: MilliTime,
     /// The number of the next append.
     next_sequence: u64,
     events: mpsc::Sender<TermEvent>,
@@ -100,12 +102,14 @@
         heartbeat: OwnerHeartbeat,
     ) -> Self {
         let clock = owner.context.clock.clone();
+        let began_at = clock.now();
         let outage = OutageLog::new("owner: writing to the log", clock);
         Self {
             owner,
             cell,
             heartbeat,
             epoch,
+            began_at,
             next_sequence: 1,
             events,
             replies: BTreeMap::new(),
@@ -220,14 +224,22 @@
         }
     }
 
-    /// Answers that a job does not exist, but only once the intake topic has been
-    /// read to its end: a host may have appended the job itself, and the owner
-    /// may not have read it yet. If there are no further records, the call is
-    /// queued again behind the jobs that were read in the meantime. Otherwise
-    /// the answer is `OwnerAnswer::NotOwner`, after which the caller's host
-    /// retries.
+    /// Answers that a job does not exist, but only once this term is confirmed and
+    /// the intake topic has been read to its end, both after the call arrived. A
+    /// newer owner may have accepted the job; or a host may have appended it
+    /// itself, and this owner may not have read it yet. If there are no further
+    /// records, the call is queued again behind the jobs that were read in the
+    /// meantime. Otherwise the answer is `OwnerAnswer::NotOwner`, after which the
+    /// caller's host retries.
     fn recheck_unknown(&self, call: JobCall, to_input: fn(JobCall) -> CellInput) {
-        if call.intake_was_read {
+        if call.was_checked {
+            log::info!(
+                job:% = call.query.job,
+                epoch:% = self.epoch,
+                term_age:% = self.owner.context.clock.now().since(self.began_at),
+                intake_offset = self.intake_offset.load(Ordering::SeqCst);
+                "owner: a job is unknown"
+            );
             send_reply(call.reply, OwnerAnswer::Unknown);
             return;
         }
@@ -237,12 +249,16 @@
         };
         let store = Arc::clone(&self.owner.context.ports.store);
         let next = Arc::clone(&self.intake_offset);
+        let claims = self.owner.claims.clone();
+        let epoch = self.epoch;
         self.spawn(async move {
             let from = next.load(Ordering::SeqCst);
-            let page = store.read(INTAKE_TOPIC, from, MilliSpan::ZERO).await;
-            if page.is_ok_and(|page| page.records.is_empty()) {
+            let page = store.read(INTAKE_TOPIC, from, MilliSpan::ZERO);
+            let (is_owner, page) = futures::join!(claims.confirm(epoch), page);
+            let is_read = page.is_ok_and(|page| page.records.is_empty());
+            if is_read && is_owner.unwrap_or(false) {
                 let rechecked = JobCall {
-                    intake_was_read: true,
+                    was_checked: true,
                     ..call
                 };
                 // If the term has ended, the reply channel is dropped and the
--- a/tests/tests/edge_hosts.rs
+++ b/tests/tests/edge_hosts.rs
@@ -8,6 +8,7 @@
 use pimentochute_server::log_dispatch;
 use pimentochute_server::settings::LoggingSettings;
 use pimentochute_tests::{EdgeCell, EdgePlatform, EdgeReply, StoreFault};
+use pimentochute_work::encode_record;
 
 const JOB: &str = r#"{"spec":"t","steps":[{"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":200}]}"#;
 const KEY: &str = "secret";
@@ -375,6 +376,71 @@
     .await;
 }
 
+/// A replaced owner that has not read its successor's claim yet must not answer
+/// "there is no such job" for a job that the successor accepted.
+#[tokio::test]
+async fn a_replaced_owner_does_not_report_the_jobs_of_its_successor_as_unknown() {
+    let platform = EdgePlatform::new(0, MilliSpan::new(100));
+    let cell = cell(&platform).await;
+    let owner = cell.owner().expect("a host owns the cell");
+    assert_eq!(submit(&cell, owner, 1).await.status, 200);
+    platform.delay_reads("keyed.cells", Some(MilliSpan::new(4_000)));
+    let epoch = 100_u64;
+    let claim = (epoch, "other@127.0.0.1:1/1000/1", "127.0.0.1:1", "");
+    let claim = encode_record(&claim).expect("the claim can be encoded");
+    platform.write_record("keyed.cells", "cell-0", &claim);
+    let submission = cell.encoded_submission(JOB);
+    platform.write_record("keyed.progress", "0000000000000002.s", &submission);
+    let reply = cell.call(owner, Method::GET, &path(2), KEY, "").await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert!(reply.body.contains("queued"), "{}", reply.body);
+}
+
+/// A host whose read of the claims is stuck, for example on a connection that went
+/// silent, must not ask a failed owner until that read times out.
+#[tokio::test]
+async fn a_host_without_a_new_claim_finds_the_next_owner() {
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    let mut cell = cell(&platform).await;
+    let owner = cell.owner().expect("a host owns the cell");
+    assert_eq!(submit(&cell, owner, 1).await.status, 200);
+    platform.delay_reads("keyed.cells", Some(MilliSpan::new(10_000)));
+    cell.kill(owner);
+    until("another host owns the cell", 5, async || {
+        cell.owner().is_some_and(|next| next != owner)
+    })
+    .await;
+    let asked = (0..3).find(|host| ![Some(owner), cell.owner()].contains(&Some(*host)));
+    let asked = asked.expect("a third host");
+    until("the third host shows the job", 3, async || {
+        is_completed(&cell, asked, 1).await
+    })
+    .await;
+}
+
+/// A caller whose job waits for an append without an answer must get its own answer
+/// before it stops waiting. The job may still get into the log.
+#[tokio::test]
+async fn a_job_that_waits_for_the_log_is_answered_before_the_deadline() {
+    let platform = EdgePlatform::new(4, MilliSpan::new(100));
+    let mut cell = cell(&platform).await;
+    let owner = cell.owner().expect("a host owns the cell");
+    cell.kill(owner);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let others = (0..3).filter(|host| *host != owner);
+    let others: Vec<_> = others.collect();
+    for host in &others {
+        platform.set_fault(&format!("host-{host}"), Some(StoreFault::NoAnswer));
+    }
+    let sent_at = Instant::now();
+    let replies = others.iter().map(|host| submit(&cell, *host, 1));
+    let replies = futures::future::join_all(replies).await;
+    let took = sent_at.elapsed();
+    let statuses: Vec<_> = replies.iter().map(|reply| reply.status).collect();
+    assert_eq!(statuses, [504, 504], "after {took:?}");
+    assert!(took < Duration::from_secs(3), "{took:?}");
+}
+
 /// With more members than partitions, the group does not list every member. An
 /// owner that is missing in the list must not be replaced for that.
 #[tokio::test]
