Forget closed jobs by the steady clock, not by the time of day

Found by reading; not seen in a run of processes.

The owner now sets when a job is forgotten on its own steady clock. A new owner takes the age of the job from the record once, at its load, and keeps the job for at least 60 s more.

Tests: a_step_of_the_time_of_day_does_not_forget_a_closed_job and a_new_owner_whose_time_of_day_is_ahead_keeps_the_closed_jobs; both fail on the code before.

--- a/crates/pimentochute-work/src/cell/closed.rs
+++ b/crates/pimentochute-work/src/cell/closed.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pimentochute_base::MilliTime;
+use pimentochute_base::{MilliSpan, MilliTime};
 
 use crate::effect::CellEffect;
 use crate::job::JobOrigin;
@@ -11,20 +11,23 @@
 
 use super::WorkCell;
 
+/// A new owner keeps closed jobs at least for this long, whatever its time of day says.
+const MIN_RESTORED_RETENTION: MilliSpan = MilliSpan::new(60_000);
+
 /// The data that is kept of a closed job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct ClosedJob {
     pub(super) end: JobEnd,
-    /// Since the Unix epoch.
-    ended_at: MilliTime,
+    /// When the job is forgotten, on the cell's clock: the time of day may jump.
+    forget_at: MilliTime,
     pub(super) team: Option<String>,
 }
 
 #[derive(Debug, Default)]
 pub(super) struct ClosedJobs {
     jobs: BTreeMap<JobCode, ClosedJob>,
-    /// The same jobs, ordered by the time of their end.
-    by_end: BTreeSet<(MilliTime, JobCode)>,
+    /// The same jobs, ordered by the time at which they are forgotten.
+    by_expiry: BTreeSet<(MilliTime, JobCode)>,
 }
 
 impl ClosedJobs {
@@ -33,34 +36,22 @@
     }
 
     fn insert(&mut self, code: JobCode, job: ClosedJob) {
-        self.by_end.insert((job.ended_at, code));
+        self.by_expiry.insert((job.forget_at, code));
         self.jobs.insert(code, job);
     }
 
-    /// Removes and returns a job that ended before `limit`, if any.
-    fn pop_before(&mut self, limit: MilliTime) -> Option<JobCode> {
-        let (ended_at, code) = *self.by_end.first()?;
-        if ended_at >= limit {
+    /// Removes and returns a job that was to be forgotten before `now`, if any.
+    fn pop_expired(&mut self, now: MilliTime) -> Option<JobCode> {
+        let (forget_at, code) = *self.by_expiry.first()?;
+        if forget_at >= now {
             return None;
         }
-        self.by_end.pop_first();
+        self.by_expiry.pop_first();
         self.jobs.remove(&code);
         Some(code)
     }
 }
 
-impl ClosedJob {
-    /// Reads a closed job from its record; `None` if the job is not closed.
-    fn from_progress(progress: &JobProgress) -> Option<Self> {
-        let end = progress.end.filter(|_| progress.tasks.is_empty())?;
-        Some(Self {
-            end,
-            ended_at: progress.ended_at,
-            team: progress.team.clone(),
-        })
-    }
-}
-
 impl WorkCell {
     /// Returns whether a job has ended and no worker has a run of it.
     pub(super) fn is_closing(&self, key: JobKey) -> bool {
@@ -84,7 +75,7 @@
         let Some(end) = job.end else { return };
         let closed = ClosedJob {
             end,
-            ended_at: job.ended_at,
+            forget_at: self.now + self.policy.ended_job_retention,
             team: job.submission.team,
         };
         self.closed.insert(job.code, closed);
@@ -93,9 +84,16 @@
     /// Restores a job from its record if it is closed, and returns whether it
     /// is.
     pub(super) fn restore_closed(&mut self, code: JobCode, progress: &JobProgress) -> bool {
-        let Some(closed) = ClosedJob::from_progress(progress) else {
+        let Some(end) = progress.end.filter(|_| progress.tasks.is_empty()) else {
             return false;
         };
+        let retention = self.policy.ended_job_retention;
+        let left = retention.saturating_sub(self.unix_now.since(progress.ended_at));
+        let closed = ClosedJob {
+            end,
+            forget_at: self.now + left.max(MIN_RESTORED_RETENTION).min(retention),
+            team: progress.team.clone(),
+        };
         // The host that recorded the submission may not have dropped it yet.
         if let Some(key) = self.job_keys.remove(&code) {
             self.jobs.remove(key);
@@ -109,8 +107,7 @@
 
     /// Forgets the jobs whose retention time is over.
     pub(super) fn expire_jobs(&mut self) {
-        let limit = self.unix_now - self.policy.ended_job_retention;
-        while let Some(code) = self.closed.pop_before(limit) {
+        while let Some(code) = self.closed.pop_expired(self.now) {
             self.expired.push(code);
         }
     }
--- a/tests/tests/work_closed.rs
+++ b/tests/tests/work_closed.rs
@@ -3,6 +3,7 @@
 
 mod work_support;
 
+use pimentochute_base::MilliSpan;
 use pimentochute_work::{
     CallerAnswer, CellEffect, JobCode, JobEnd, JobProgress, JobStatus, RecordBatch, RecordKind,
     ReplyKey, RunEnd, WorkerListing, decode_record,
@@ -187,3 +188,33 @@
     assert_eq!(batch.writes.len(), 1, "{batch:?}");
     assert!(batch.writes[0].value.is_empty());
 }
+
+/// Guards against closed jobs that are forgotten before their retention time
+/// because the time of day steps forward.
+#[test]
+fn a_step_of_the_time_of_day_does_not_forget_a_closed_job() {
+    let (mut test, _) = completed(false);
+    test.cell.batch_recorded();
+    let unix_now = test.now + MilliSpan::new(LONG);
+    test.cell
+        .advance(test.now + MilliSpan::new(1_000), unix_now);
+    test.cell.run_due_work();
+    assert_eq!(test.cell.state(JOB), Some(JobStatus::Completed));
+}
+
+/// Guards against closed jobs that a new owner forgets at once because its time of day is
+/// ahead of that of its predecessor.
+#[test]
+fn a_new_owner_whose_time_of_day_is_ahead_keeps_the_closed_jobs() {
+    let (_, batch) = completed(false);
+    let progress = progress_in(&batch);
+    let mut successor = TestCell::new(2);
+    let unix_now = progress.ended_at + MilliSpan::new(LONG);
+    successor.cell.advance(successor.now, unix_now);
+    successor.cell.restore_progress(JOB, progress);
+    let now = successor.now + MilliSpan::new(59_000);
+    let unix_now = unix_now + MilliSpan::new(59_000);
+    successor.cell.advance(now, unix_now);
+    successor.cell.run_due_work();
+    assert_eq!(successor.cell.state(JOB), Some(JobStatus::Completed));
+}
