--- a/tests/tests/process_soak.rs
+++ b/tests/tests/process_soak.rs
@@ -35,5 +35,10 @@
 async fn hosts_keep_their_promises(seed: u64) {
     let report = soak(seed, TRAFFIC).await;
     let breaches: Vec<_> = report.breaches.iter().map(ToString::to_string).collect();
-    assert_eq!(breaches, Vec::<String>::new(), "seed {seed}: {}", report.summary);
+    assert_eq!(
+        breaches,
+        Vec::<String>::new(),
+        "seed {seed}: {}",
+        report.summary
+    );
 }
