Add seed 7201 of the soak as a regression case

It fails on the present code: calls that a host takes up to 3.3 s after SIGTERM are cut when the process ends, while no owner answers. The cause is open.

--- a/tests/tests/process_soak.rs
+++ b/tests/tests/process_soak.rs
@@ -9,12 +9,12 @@
 use pimentochute_soak::{PlanMix, SoakOptions, SoakReport, run};
 use test_case::test_case;
 
-/// How long callers hand in jobs.
-const TRAFFIC: MilliSpan = MilliSpan::new(10_000);
+/// How long callers hand in jobs, in the runs under several kinds of disruptions.
+const SHORT_TRAFFIC: MilliSpan = MilliSpan::new(10_000);
 
 /// Runs the program of the debug profile. The files of a run that broke a promise are
 /// kept in the target folder.
-async fn soak(mix: PlanMix, seed: u64) -> SoakReport {
+async fn soak(mix: PlanMix, seed: u64, traffic: MilliSpan) -> SoakReport {
     let target = Path::new(env!("CARGO_MANIFEST_DIR")).join("../target");
     let folder = target.join(format!("tmp/soak-{mix}-{seed}"));
     // The folder of an earlier run may be there.
@@ -23,7 +23,7 @@
     let program = target.join("debug/pimentochute");
     let options = SoakOptions::new(seed, program, folder.clone())
         .with_mix(mix)
-        .with_traffic(TRAFFIC);
+        .with_traffic(traffic);
     let report = run(&options).await.expect("the hosts become ready");
     if report.breaches.is_empty() {
         fs::remove_dir_all(&folder).expect("the folder can be removed");
@@ -39,7 +39,20 @@
 #[test_case(PlanMix::All, 1002)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hosts_keep_their_promises(mix: PlanMix, seed: u64) {
-    let report = soak(mix, seed).await;
+    assert_kept(&soak(mix, seed, SHORT_TRAFFIC).await);
+}
+
+/// Guards against what seeds of earlier soaks showed.
+///
+/// - Planned, 7201, 7303: all hosts stop close together. One took calls until 3.3 s
+///   after SIGTERM that waited 2.75 s for an owner, and ended after 5.5 s.
+#[test_case(PlanMix::Planned, 7201, 30)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn seeds_that_failed_hold(mix: PlanMix, seed: u64, traffic_s: u64) {
+    assert_kept(&soak(mix, seed, MilliSpan::new(traffic_s * 1_000)).await);
+}
+
+fn assert_kept(report: &SoakReport) {
     let breaches: Vec<_> = report.breaches.iter().map(ToString::to_string).collect();
     assert!(breaches.is_empty(), "{}: {breaches:#?}", report.summary);
 }
