--- a/tests/tests/process_soak.rs
+++ b/tests/tests/process_soak.rs
@@ -44,8 +44,9 @@
 
 /// Guards against what seeds of earlier soaks showed.
 ///
-/// - Planned, 7201, 7303: all hosts stop close together. One took calls until 3.3 s
-///   after SIGTERM that waited 2.75 s for an owner, and ended after 5.5 s.
+/// - Planned, 7201: all hosts stop close together. They took calls on open connections
+///   until 3.3 s after SIGTERM; these waited 2.75 s for an owner, and were cut when the
+///   process ended after 5.5 s.
 #[test_case(PlanMix::Planned, 7201, 30)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_failed_hold(mix: PlanMix, seed: u64, traffic_s: u64) {
