Keep workers only for suspects that may use them, and let a trial beside a doubtful run prove nothing

Now a worker is kept for a step in turn on which that step may run as far as the advice tells, and only for steps that may start. A neighbour with more than one loss makes a crash no proof; the record that a start reached its worker is written only for starts that were alone with sound neighbours. While few on-time steps wait, suspects use all of the free room and further workers run empty for the next trials; otherwise half of it as before.

--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -84,6 +84,9 @@
     eligibility_rates: BTreeMap<String, EligibilityRate>,
     /// The hosts that pass requests on to the advice service.
     relays: AdviceRelays,
+    /// The steps of jobs that can still end in time which the last placement round left
+    /// waiting.
+    on_time_backlog: usize,
     /// The workers that the last placement round kept free for gangs.
     reserved_workers: BTreeSet<WorkerKey>,
     /// Contains all jobs with a task that is suspected of crashing its workers.
@@ -151,6 +154,7 @@
             backlog: BTreeSet::new(),
             eligibility_rates: BTreeMap::new(),
             relays: AdviceRelays::default(),
+            on_time_backlog: 0,
             reserved_workers: BTreeSet::new(),
             suspect_jobs: BTreeSet::new(),
             trial_workers: BTreeMap::new(),
--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -17,19 +17,12 @@
 /// How long a worker that takes only suspected tasks may need until it has no other runs.
 const EMPTY_TIMEOUT: MilliSpan = MilliSpan::new(4_000);
 
-/// With more than this part of the room free, in thousandths, workers that have crashed are
-/// used for further suspects once they are back.
-const MOSTLY_FREE_PERMILLE: usize = 500;
-
 /// A suspected task starts beside at most this many runs, which its crash would end.
 const MAX_TRIAL_NEIGHBOURS: usize = 2;
 
 /// One in this many workers may start suspected tasks at a time, whatever room is free.
 const MAX_APART_DIVISOR: usize = 12;
 
-/// Beyond that, suspected tasks use one part in this many of the room that is free.
-const ROOM_DIVISOR: usize = 2;
-
 /// A worker whose runs were requeued without knowing whether it had crashed.
 #[derive(Debug)]
 pub(super) struct LostWorker {
@@ -44,6 +37,8 @@
 /// The workers on which suspected tasks are starting.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct TrialUsage {
+    /// More steps of jobs that can still end in time wait than a few gangs.
+    has_on_time_backlog: bool,
     /// The workers that take runs.
     workers: usize,
     /// The workers of which it is not known yet whether a suspect does harm there.
@@ -105,7 +100,8 @@
         let runs = sent.map(|((job, index), run)| {
             let start = worker.start_status(run);
             // Nothing starts beside a suspect before its worker has answered the start.
-            let is_sole = start == StartStatus::Checked || self.is_calm_for(*job, worker);
+            let is_sole = start == StartStatus::Checked && run.is_calm_start
+                || self.is_calm_for(*job, worker);
             LostRun {
                 job: *job,
                 index: *index,
@@ -313,6 +309,9 @@
             return;
         };
         run.has_reached_worker = true;
+        if !run.is_calm_start {
+            return;
+        }
         let job = &mut self.jobs[job_key];
         job.tasks[index].crashes.reached_run = run.number;
         job.crash_record = CrashRecord::Outdated;
@@ -333,9 +332,9 @@
     }
 
     /// Returns whether a suspected task may start on a worker: one without runs, or one
-    /// that takes no other tasks, once it has few runs or does not run empty. A task that
-    /// was the only suspect before is almost certainly guilty, and does not start beside a
-    /// few runs.
+    /// that takes no other tasks, once it has few runs or does not run empty; a crash there
+    /// proves nothing then. A task that was the only suspect before is almost certainly
+    /// guilty, and does not start beside a few runs.
     pub(super) fn is_worker_for_suspect(
         &self,
         job_key: JobKey,
@@ -350,24 +349,35 @@
             return false;
         };
         let crashes = self.jobs[job_key].tasks[index].crashes;
-        let has_few_runs = worker.runs.len() <= MAX_TRIAL_NEIGHBOURS && crashes.sole_losses == 0;
-        let is_allowed = has_few_runs || self.now.since(*chosen_at) >= EMPTY_TIMEOUT;
-        is_allowed && self.is_calm_for(job_key, worker)
+        if self.now.since(*chosen_at) >= EMPTY_TIMEOUT {
+            return Self::is_settled_for(job_key, worker);
+        }
+        worker.runs.len() <= MAX_TRIAL_NEIGHBOURS
+            && crashes.sole_losses == 0
+            && self.is_calm_for(job_key, worker)
+    }
+
+    /// Returns whether the runs of other jobs on a worker have shown that they do no harm
+    /// by starting.
+    fn is_settled_for(job_key: JobKey, worker: &WorkerState) -> bool {
+        let mut others = worker.runs.iter().filter(|((job, _), _)| *job != job_key);
+        others.all(|(_, run)| worker.start_status(run) == StartStatus::Settled)
     }
 
     /// Returns whether a crash of a worker could not be due to a run of another job than
     /// this one.
     pub(super) fn is_calm_for(&self, job_key: JobKey, worker: &WorkerState) -> bool {
-        let mut others = worker.runs.iter().filter(|((job, _), _)| *job != job_key);
-        others.all(|((job, index), run)| {
-            let history = &self.jobs[*job].tasks[*index].crashes;
-            !history.is_suspect && worker.start_status(run) == StartStatus::Settled
-        })
+        let mut others = worker.runs.keys().filter(|(job, _)| *job != job_key);
+        Self::is_settled_for(job_key, worker)
+            && others.all(|(job, index)| self.jobs[*job].tasks[*index].crashes.is_presumed_sound())
     }
 
     /// Returns how many workers suspected tasks use, and may use.
     pub(super) fn trial_usage(&self) -> TrialUsage {
-        let mut usage = TrialUsage::default();
+        let mut usage = TrialUsage {
+            has_on_time_backlog: self.on_time_backlog > self.workers.len() / MAX_APART_DIVISOR,
+            ..TrialUsage::default()
+        };
         for worker in self.workers.values() {
             let is_open = worker.has_open_trial();
             usage.apart += usize::from(is_open);
@@ -387,23 +397,41 @@
     /// Returns on how many workers suspected tasks may start at a time.
     pub(super) fn limit(&self) -> usize {
         let free_permille = 1_000 - self.used_permille();
-        let by_room = self.workers * free_permille / 1_000 / ROOM_DIVISOR;
-        // Beside much other work, crashed workers have to be of use to it once they are back.
-        let vacant = if free_permille > MOSTLY_FREE_PERMILLE {
-            self.vacant + self.apart
+        let free = self.workers * free_permille / 1_000;
+        // Tasks that can still end in time get the other half of the room, and the workers
+        // that are back after a crash.
+        let (by_room, vacant) = if self.has_on_time_backlog {
+            (free / 2, self.vacant)
         } else {
-            self.vacant
+            (free, self.vacant + self.apart)
         };
         let by_vacant = vacant - vacant / 4;
         let least = self.workers / MAX_APART_DIVISOR;
         least.max(by_room).max(by_vacant).max(1)
     }
 
+    /// Returns how many workers are kept for suspected tasks besides those in use: as many
+    /// as may start one now, and unless other work needs them, those that run empty for the
+    /// trials after these.
+    pub(super) fn kept_workers(&self) -> usize {
+        if self.has_on_time_backlog {
+            self.spare()
+        } else {
+            self.limit()
+        }
+    }
+
     /// Returns on how many further workers suspected tasks may start.
     pub(super) fn spare(&self) -> usize {
         self.limit().saturating_sub(self.apart)
     }
 
+    /// Returns whether a further suspect may start that stays apart until it ends.
+    pub(super) fn has_room_for_long(&self) -> bool {
+        let by_vacant = (self.vacant + self.long) * 3 / 4;
+        self.long < self.limit().max(by_vacant)
+    }
+
     /// Returns the part of the capacity that is in use, of the resource that is used the
     /// most.
     fn used_permille(&self) -> usize {
--- a/crates/pimentochute-work/src/cell/place_apart.rs
+++ b/crates/pimentochute-work/src/cell/place_apart.rs
@@ -6,7 +6,7 @@
 //! follows the room that is free, and the suspects take their turns in an order of their
 //! own: the rank of a job falls with its age, and the newest suspects would go first.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use pimentochute_base::MilliTime;
 
@@ -29,13 +29,11 @@
     step_index: usize,
 }
 
-/// A worker that may be kept for suspects; the smallest is the best. The order of the
+/// A worker that may be kept for a suspect; the smallest is the best. The order of the
 /// fields is the order of comparison.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct TrialCandidate {
     has_runs: bool,
-    /// The first step that waits is not known to be allowed there.
-    is_not_eligible: bool,
     standing: CandidateStanding,
     runs: usize,
     worker_key: WorkerKey,
@@ -76,29 +74,40 @@
             let is_open = job.is_some_and(|job| job.end.is_none());
             is_open && (backlog.contains(job_key) || jobs[*job_key].has_suspects())
         });
-        let turns = self.trial_turns();
+        if self.suspect_jobs.is_empty() {
+            self.trial_workers.clear();
+            return;
+        }
         let usage = self.trial_usage();
+        let turns = self.trial_turns(&usage);
         self.choose_trial_workers(&turns, &usage);
-        let may_be_long = usage.long < usage.limit();
         let mut spare = usage.spare();
         for turn in turns {
             if spare == 0 {
                 return;
             }
-            spare -= self.place_step_suspects(turn, spare, may_be_long, plan);
+            spare -= self.place_step_suspects(turn, spare, &usage, plan);
         }
     }
 
-    /// Returns the steps with waiting suspects that are not gangs, in order.
-    fn trial_turns(&self) -> Vec<TrialTurn> {
+    /// Returns the steps that are not gangs and have suspects which may start, in order.
+    fn trial_turns(&self, usage: &TrialUsage) -> Vec<TrialTurn> {
         let mut turns = Vec::new();
         for job_key in self.suspect_jobs.intersection(&self.backlog) {
             let job = &self.jobs[*job_key];
             for step_index in 0..job.steps.len() {
-                if job.step_spec(step_index).is_gang || !job.is_ready(step_index, self.unix_now) {
+                let spec = job.step_spec(step_index);
+                let team = job.submission.team.as_deref();
+                if spec.is_gang
+                    || !job.is_ready(step_index, self.unix_now)
+                    || !self.fits_team_cap(team, &spec.demand)
+                {
                     continue;
                 }
-                let suspects = self.waiting_suspects(*job_key, step_index);
+                let mut suspects = self.waiting_suspects(*job_key, step_index);
+                if !usage.has_room_for_long() {
+                    suspects.retain(|index| !job.tasks[*index].crashes.is_long_suspect());
+                }
                 let tasks = suspects.iter().map(|index| &job.tasks[*index]);
                 let Some(lost_at) = tasks.clone().map(|task| task.lost_at).min() else {
                     continue;
@@ -115,17 +124,10 @@
         turns
     }
 
-    /// Chooses the workers that take no tasks but suspects in this round: first those that
-    /// have no runs or run empty already, and those that may run the step whose turn is
-    /// the first.
+    /// Chooses the workers that take no tasks but suspects in this round: for each step in
+    /// turn one on which it may run, preferably one that has no runs or runs empty already.
     fn choose_trial_workers(&mut self, turns: &[TrialTurn], usage: &TrialUsage) {
-        let eligible: BTreeSet<_> = match turns.first() {
-            Some(turn) => {
-                let advice = &self.jobs[turn.job_key].steps[turn.step_index].advice;
-                advice.eligible.iter().map(|row| row.worker).collect()
-            }
-            None => BTreeSet::new(),
-        };
+        let wanted = usage.kept_workers();
         let candidates = self
             .workers
             .iter()
@@ -133,22 +135,42 @@
         let mut candidates: Vec<_> = candidates
             .map(|(worker_key, worker)| TrialCandidate {
                 has_runs: !worker.runs.is_empty(),
-                is_not_eligible: !eligible.contains(&worker_key),
                 standing: self.candidate_standing(worker_key),
                 runs: worker.runs.len(),
                 worker_key,
             })
             .collect();
-        let wanted = usage.spare().min(turns.len()).min(candidates.len());
-        if wanted > 0 && wanted < candidates.len() {
-            candidates.select_nth_unstable(wanted - 1);
+        candidates.sort_unstable();
+        let mut chosen = BTreeMap::new();
+        for turn in turns {
+            if chosen.len() >= wanted || candidates.is_empty() {
+                break;
+            }
+            let best = candidates
+                .iter()
+                .position(|candidate| self.may_run_step(*turn, candidate.worker_key));
+            if let Some(position) = best {
+                let worker_key = candidates.remove(position).worker_key;
+                let chosen_at = self.trial_workers.get(&worker_key);
+                chosen.insert(worker_key, *chosen_at.unwrap_or(&self.now));
+            }
         }
-        let chosen = candidates.into_iter().take(wanted);
-        let chosen = chosen.map(|candidate| {
-            let chosen_at = self.trial_workers.get(&candidate.worker_key);
-            (candidate.worker_key, *chosen_at.unwrap_or(&self.now))
-        });
-        self.trial_workers = chosen.collect();
+        self.trial_workers = chosen;
+    }
+
+    /// Returns whether a step may run on a worker once it has no other runs, as far as the
+    /// advice so far tells.
+    fn may_run_step(&self, turn: TrialTurn, worker_key: WorkerKey) -> bool {
+        let job = &self.jobs[turn.job_key];
+        let terms = self.terms_of(job);
+        let spec = job.step_spec(turn.step_index);
+        let worker = &self.workers[worker_key];
+        let advice = &job.steps[turn.step_index].advice;
+        matches_step(worker, &terms, spec)
+            && spec.demand.fits_within(&worker.report.capacity)
+            && (terms.advice.is_none()
+                || !advice.answered.contains(&worker_key)
+                || advice.eligible.iter().any(|row| row.worker == worker_key))
     }
 
     fn candidate_standing(&self, worker_key: WorkerKey) -> CandidateStanding {
@@ -162,13 +184,12 @@
     }
 
     /// Starts trials of the suspects of a step on up to `spare` further workers, and
-    /// requests the advice that they lack. Returns how many workers that uses up. Those
-    /// that stay apart until they end start only if they `may_be_long`.
+    /// requests the advice that they lack. Returns how many workers that uses up.
     fn place_step_suspects(
         &mut self,
         turn: TrialTurn,
         spare: usize,
-        may_be_long: bool,
+        usage: &TrialUsage,
         plan: &mut RoundPlan,
     ) -> usize {
         let (job_key, step_index) = (turn.job_key, turn.step_index);
@@ -178,7 +199,8 @@
         let mut rows = self.step_workers(job_key, step_index, &terms, &spec, plan);
         let mut used = 0;
         for index in self.waiting_suspects(job_key, step_index) {
-            if !may_be_long && self.jobs[job_key].tasks[index].crashes.is_long_suspect() {
+            let is_long = self.jobs[job_key].tasks[index].crashes.is_long_suspect();
+            if is_long && !usage.has_room_for_long() {
                 continue;
             }
             let counted = plan.with_cap_hold(team.as_deref(), spec.demand);
@@ -222,9 +244,9 @@
         })
     }
 
-    /// Requests advice about the workers on which a suspect could start now: again about
-    /// the eligible ones whose tickets have expired, or else about new ones. Returns
-    /// whether a request is in flight.
+    /// Requests advice for a suspect: again about the eligible workers on which it could
+    /// start now and whose tickets have expired, or else about new ones, also those that
+    /// run empty. Returns whether a request is in flight.
     fn request_for_suspect(
         &mut self,
         job_key: JobKey,
@@ -255,15 +277,13 @@
         let requested = if known.is_empty() {
             let rate = self.eligibility_rate(&self.jobs[job_key].submission.queue);
             let wanted = usize::try_from(rate.requested_for_tasks(1)).unwrap_or(usize::MAX);
-            let new = self.workers.keys();
-            let new = new.filter(|worker_key| !advice.answered.contains(worker_key));
-            let usable: Vec<_> = new.clone().filter(is_usable).take(wanted).collect();
-            if usable.is_empty() && advice.eligible.is_empty() {
-                // One that may run the step is kept for its trial then.
-                new.take(wanted).collect()
-            } else {
-                usable
-            }
+            let new = self.workers.iter().filter(|(worker_key, worker)| {
+                let is_kept = self.trial_workers.contains_key(worker_key);
+                !advice.answered.contains(worker_key)
+                    && matches_step(worker, terms, spec)
+                    && (is_kept || is_usable(worker_key))
+            });
+            new.map(|(worker_key, _)| worker_key).take(wanted).collect()
         } else {
             known
         };
@@ -305,11 +325,16 @@
     }
 
     fn has_gang_in_trial(&self) -> bool {
-        let apart_jobs = self.workers.values().filter_map(|worker| worker.apart_job);
-        let apart_jobs: BTreeSet<_> = apart_jobs.collect();
-        apart_jobs.into_iter().any(|job_key| {
-            let steps = &self.jobs[job_key].submission.spec.steps;
-            steps.iter().any(|step| step.is_gang)
+        let mut in_trial = self
+            .workers
+            .values()
+            .filter(|worker| worker.has_open_trial());
+        in_trial.any(|worker| {
+            let mut apart = worker.runs.iter().filter(|(_, run)| run.is_apart);
+            apart.any(|((job_key, index), _)| {
+                let job = &self.jobs[*job_key];
+                job.step_spec(job.step_index(job.name_of(*index))).is_gang
+            })
         })
     }
 
--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -39,6 +39,7 @@
                     let mut run = PlacedRun::restored(record.run, job.demand_of(index), self.now)
                         .with_apart(crashes.is_suspect);
                     run.has_reached_worker = crashes.reached_run == record.run;
+                    run.is_calm_start = run.has_reached_worker;
                     self.place_run(key, index, worker, run);
                 }
             }
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -102,6 +102,7 @@
         };
         self.place_suspects(&mut plan);
         let free = self.total_free();
+        self.on_time_backlog = 0;
         for rank in self.ranked_backlog() {
             let job = &self.jobs[rank.key];
             let terms = self.terms_of(job);
@@ -113,6 +114,8 @@
             plan.is_late = !rank.is_on_time();
             for step_index in steps {
                 self.place_step(rank.key, step_index, &terms, &mut plan);
+                let still_waits = self.jobs[rank.key].steps[step_index].waiting > 0;
+                self.on_time_backlog += usize::from(still_waits && rank.is_on_time());
             }
             if plan.requested_demand.cpu_millis > free.cpu_millis.saturating_mul(2) {
                 break;
--- a/crates/pimentochute-work/src/crash.rs
+++ b/crates/pimentochute-work/src/crash.rs
@@ -59,7 +59,8 @@
 pub(crate) struct RunLoss {
     /// The worker is known to have crashed.
     pub(crate) is_crash: bool,
-    /// No run of another job on the worker was recent or had lost a worker before.
+    /// No run of another job on the worker was recent, or suspect, or had lost more than
+    /// one worker.
     pub(crate) is_sole: bool,
     pub(crate) start: StartStatus,
 }
@@ -139,6 +140,12 @@
             || self.losses >= MAX_LOSSES && self.sole_losses >= MAX_SOLE_LOSSES
     }
 
+    /// Returns whether a crash of its worker, later than at the start of the task, is rather
+    /// due to another run.
+    pub(crate) const fn is_presumed_sound(&self) -> bool {
+        !self.is_suspect && self.losses <= 1
+    }
+
     /// Returns whether the task has to stay apart until it ends.
     pub(crate) const fn is_long_suspect(&self) -> bool {
         self.losses >= SUSPECT_LOSSES
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -182,6 +182,9 @@
     pub(crate) held_since: Option<MilliTime>,
     /// The task is suspected, and its worker was alive as the start left or answered it.
     pub(crate) has_reached_worker: bool,
+    /// The task is suspected, and no other run on its worker could be harmful when it was
+    /// placed.
+    pub(crate) is_calm_start: bool,
 }
 
 /// The lease, the fencing token, control and the poll state of a worker.
@@ -407,6 +410,7 @@
             is_apart: false,
             held_since: None,
             has_reached_worker: false,
+            is_calm_start: false,
         }
     }
 
