--- a/tests/tests/work_trials.rs
+++ b/tests/tests/work_trials.rs
@@ -1,5 +1,5 @@
-//! Review of issue 34: suspected tasks, and sound ones beside them, that wait although room
-//! is free.
+//! Suspected tasks, and sound ones beside them, that wait although room is free. The workers
+//! carry out every order and never crash; the suspects come from the log.
 
 mod work_support;
 
@@ -43,7 +43,7 @@
         let mut test = TestCell::with_config(1, config);
         for (index, label) in labels.iter().enumerate() {
             let mut report = report(index, WORKER_CPU);
-            report.labels[0] = (*label).to_owned();
+            (*label).clone_into(&mut report.labels[0]);
             test.cell.worker_reported(report);
         }
         let mut fleet = Self {
@@ -168,8 +168,8 @@
     spec
 }
 
-/// A suspect may run only on workers with a label. Each of them has a long run and is nearly
-/// free; a worker without the label is vacant, and is the one that is kept.
+/// Guards against a suspect that waits for good since the worker that is kept for it is a
+/// vacant one without the label that it needs; those with the label have a long run each.
 #[test]
 fn a_suspect_starts_though_a_worker_that_it_may_not_use_is_vacant() {
     let mut fleet = Fleet::new(&["x", "x", "x", "y"]);
@@ -210,7 +210,7 @@
     assert_eq!(fleet.starts_of(2), 1, "the suspect has not started in 56 s");
 }
 
-/// The only worker is kept for a suspect that can run nowhere.
+/// Guards against an only worker that is kept for a suspect which can run nowhere.
 #[test]
 fn a_sound_task_starts_on_the_only_worker_beside_a_suspect_that_fits_nowhere() {
     let mut fleet = Fleet::new(&["x"]);
@@ -226,8 +226,8 @@
     );
 }
 
-/// Suspects of a team at its cap wait for one of its runs to end. As many workers are kept
-/// idle for them meanwhile.
+/// Guards against workers that are kept idle for suspects of a team at its cap, which wait
+/// for one of its runs to end.
 #[test]
 fn a_sound_gang_starts_beside_suspects_of_a_team_at_its_cap() {
     let mut fleet = Fleet::new(&["x"; 16]);
@@ -251,8 +251,8 @@
     );
 }
 
-/// Tasks that have lost three workers stay apart until they end. Those that last use up the
-/// limit for good, while half of the workers are vacant.
+/// Guards against a limit that tasks which stay apart until they end use up for good, while
+/// half of the workers are vacant.
 #[test]
 fn long_suspects_start_while_workers_are_vacant() {
     let mut fleet = Fleet::new(&["x"; 24]);
@@ -272,8 +272,8 @@
     );
 }
 
-/// A gang with a member that stays apart until it ends is "in trial" for as long, so that no
-/// other gang may use more workers than are spare.
+/// Guards against a gang with a member that stays apart until it ends, and counts as being
+/// tried for as long, so that no other gang may use more workers than are spare.
 #[test]
 fn a_gang_with_suspects_starts_beside_a_gang_that_stays_apart() {
     let mut fleet = Fleet::new(&["x"; 16]);
@@ -295,8 +295,8 @@
     );
 }
 
-/// A task that crashes its worker some time after its start is calm again once it was
-/// cleared, whatever it has crashed before. A sound suspect beside it is given up.
+/// Guards against a sound suspect that is given up for the crash of a task beside it, which
+/// had crashed two workers before and was cleared since.
 #[test]
 fn a_sound_suspect_is_not_given_up_beside_a_task_that_crashed_workers_before() {
     let mut fleet = Fleet::new(&["x"]);
