Log which workers take no runs, and why

Once a second up to four listed workers that have taken no runs for 2 s are named with the reason, their runs without evidence and the age of the first; a run that should not continue has `is_placed`.

--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -11,6 +11,7 @@
 mod gang_wait;
 mod jobs;
 mod orders;
+mod paused_workers;
 mod place;
 mod place_apart;
 mod place_gang;
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -285,10 +285,18 @@
         !ended && run.stop_sent.is_none()
     }
 
+    /// Returns whether a run that a worker lists is among those that are placed there.
+    fn is_run_placed(&self, worker_key: WorkerKey, row: &RunningRow) -> bool {
+        let task_ref = self.find_task(&row.task);
+        let placed = task_ref.and_then(|task_ref| self.workers[worker_key].runs.get(&task_ref));
+        placed.is_some_and(|placed| placed.number == row.run)
+    }
+
     fn stop_unwanted(&mut self, worker_key: WorkerKey, row: &RunningRow) {
         let now = self.now;
         let longest = self.policy.stop_timeout + STOP_RETRY_MARGIN;
         let task_ref = self.find_task(&row.task);
+        let is_placed = self.is_run_placed(worker_key, row);
         let worker = &mut self.workers[worker_key];
         if let Some(run) = task_ref.and_then(|task_ref| worker.runs.get_mut(&task_ref))
             && run.number == row.run
@@ -299,7 +307,7 @@
             run.stop_sent = Some(now);
         }
         log::info!(
-            task:% = row.task, run = row.run, worker:% = worker.report.id;
+            task:% = row.task, run = row.run, worker:% = worker.report.id, is_placed;
             "cell: a run that should not continue is stopped"
         );
         self.effects.push(CellEffect::Stop(StopCommand {
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -129,6 +129,7 @@
         );
         self.relays.log_calls();
         self.log_suspects();
+        self.log_paused_workers();
     }
 
     fn place_backlog(&mut self) {
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -71,6 +71,8 @@
     /// No run starts here before this time, on the cell's clock.
     pub(crate) avoid_until: MilliTime,
     pub(crate) open_starts: OpenStarts,
+    /// Since when a check has found that the worker pauses, on the cell's clock.
+    pub(crate) paused_since: Option<MilliTime>,
 }
 
 /// Which incarnation of a worker its entry in the platform's list describes.
@@ -86,6 +88,24 @@
     Doubtful,
 }
 
+/// Why no runs start on a worker that is neither draining nor gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum PauseReason {
+    /// A worker that started later has its address.
+    Replaced,
+    /// Its entry in the platform's list describes another incarnation, or may do so.
+    Entry,
+    /// The owner does not know its runs: an order had no answer, or it is new.
+    Control,
+    /// Its ends are not acknowledged, because of a start without an answer.
+    EndsWithheld,
+    /// Several runs have failed there.
+    Avoided,
+    /// Starts have no answer for longer than others.
+    StartsOpen,
+}
+
 /// The starts that a worker has not answered yet.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct OpenStarts {
@@ -293,6 +313,7 @@
             failures: 0,
             avoid_until: MilliTime::ZERO,
             open_starts: OpenStarts::default(),
+            paused_since: None,
         }
     }
 
@@ -314,15 +335,43 @@
     /// could not be given to another worker before its lease ends.
     pub(crate) fn takes_runs(&self, now: MilliTime, answer_limit: MilliSpan) -> bool {
         self.in_platform_list
-            && self.entry == EntryStatus::Current
-            && !self.is_replaced
             && !self.report.is_draining
-            && self.lease.has_control
-            && self
-                .withheld_since
-                .is_none_or(|since| now.since(since) <= MAX_ACKNOWLEDGE_WAIT)
-            && self.avoid_until <= now
-            && !self.open_starts.is_overdue(answer_limit, now)
+            && self.pause_reason(now, answer_limit).is_none()
+    }
+
+    /// Returns why no runs start here for a while, whether the worker is in the platform's
+    /// list or not.
+    pub(crate) fn pause_reason(
+        &self,
+        now: MilliTime,
+        answer_limit: MilliSpan,
+    ) -> Option<PauseReason> {
+        let is_withheld = self
+            .withheld_since
+            .is_some_and(|since| now.since(since) > MAX_ACKNOWLEDGE_WAIT);
+        let reasons = [
+            (self.is_replaced, PauseReason::Replaced),
+            (self.entry != EntryStatus::Current, PauseReason::Entry),
+            (!self.lease.has_control, PauseReason::Control),
+            (is_withheld, PauseReason::EndsWithheld),
+            (self.avoid_until > now, PauseReason::Avoided),
+            (
+                self.open_starts.is_overdue(answer_limit, now),
+                PauseReason::StartsOpen,
+            ),
+        ];
+        let holds = reasons.into_iter().find(|(holds, _)| *holds);
+        holds.map(|(_, reason)| reason)
+    }
+
+    /// Returns the number of runs whose start has left and of which the worker has shown
+    /// nothing since, and when the first of them left, on the cell's clock.
+    pub(crate) fn unconfirmed_runs(&self) -> (usize, Option<MilliTime>) {
+        let open = self
+            .runs
+            .values()
+            .filter(|run| run.order_token.is_some() && run.acknowledged_at.is_none());
+        (open.clone().count(), open.map(|run| run.percent_at).min())
     }
 
     /// Returns whether the worker has to be polled: the owner lacks control, the
