--- a/tests/tests/work_capacity.rs
+++ b/tests/tests/work_capacity.rs
@@ -3,8 +3,11 @@
 mod work_support;
 
 use pimentochute_base::ResourceAmount;
-use pimentochute_work::{JobCode, ReplyKey, RunEnd, WorkerListing};
-use work_support::{PLAIN, TestCell, ended, gang, job, report, running};
+use pimentochute_work::{
+    JobCode, JobProgress, ReplyKey, RunEnd, RunningRow, TaskPhase, TaskProgress, WorkerListing,
+};
+use test_case::test_case;
+use work_support::{PLAIN, TestCell, ended, gang, job, report, running, submission};
 
 /// Reports the capacity of the first worker.
 fn report_capacity(test: &mut TestCell, cpu_millis: u64) {
@@ -107,3 +110,60 @@
     test.run_due_work();
     assert_eq!(test.record().starts.len(), 1);
 }
+
+/// LIMIT: a new owner stopped a run that a former one had started for a task that was done
+/// since, and started others in its room meanwhile.
+#[test_case(1, 3_000; "of a task that is done")]
+#[test_case(9, 1_000; "of a job that is not known")]
+fn a_run_that_an_earlier_owner_has_left_takes_its_room_until_it_has_ended(
+    listed_job: u64,
+    cpu_millis: u64,
+) {
+    let mut test = TestCell::new(2);
+    test.cell.worker_reported(report(0, 4_000));
+    let code = JobCode::new(1);
+    let now = test.now;
+    test.cell
+        .restore_submission(code, submission(PLAIN, job(2, cpu_millis), now));
+    let done = TaskProgress {
+        run: 2,
+        phase: TaskPhase::Done,
+        ..TaskProgress::default()
+    };
+    let progress = JobProgress {
+        tasks: vec![done, TaskProgress::default()],
+        ..JobProgress::default()
+    };
+    test.cell.restore_progress(code, progress);
+    let left = RunningRow {
+        task: format!("{}.0.0.0", JobCode::new(listed_job)),
+        run: 2,
+        checkpoint: String::new(),
+        percent: 10,
+    };
+    let mut listing = WorkerListing {
+        running: vec![left],
+        ..WorkerListing::default()
+    };
+    let mut stops = 0;
+    for _ in 0..20 {
+        let effects = test.run_due_work();
+        stops += effects.stops.len();
+        for poll in effects.polls {
+            test.answer_poll(&poll, listing.clone());
+        }
+        assert_eq!(test.record().starts, Vec::new(), "no room beside the run");
+        test.step(50);
+    }
+    assert!(stops > 0, "the run is stopped");
+    listing.running.clear();
+    let mut starts = Vec::new();
+    for _ in 0..10 {
+        for poll in test.run_due_work().polls {
+            test.answer_poll(&poll, listing.clone());
+        }
+        starts.extend(test.record().starts);
+        test.step(50);
+    }
+    assert_eq!(starts.len(), 1, "the room is free once the run has ended");
+}
--- a/tests/tests/work_ends.rs
+++ b/tests/tests/work_ends.rs
@@ -97,10 +97,9 @@
     assert_eq!(status, Some(JobStatus::Completed));
 }
 
-/// Issue 43, TWICE: a start waited for the owner's link while an earlier run of the task was
-/// found to have succeeded, and its run began after that.
-#[test]
-fn a_success_that_arrives_after_the_next_start_stops_that_run() {
+/// Returns a cell that finds a task to have succeeded on one of two workers after the next
+/// start of the task has left for the other one, and that start.
+fn cell_with_late_success() -> (TestCell, StartCommand) {
     let mut test = TestCell::new(1);
     test.add_workers(2, 4_000);
     test.submit(1, PLAIN, job(1, 1_000));
@@ -133,6 +132,14 @@
         ..WorkerListing::default()
     };
     test.answer_poll(&poll, late);
+    (test, next_start)
+}
+
+/// Issue 43, TWICE: a start waited for the owner's link while an earlier run of the task was
+/// found to have succeeded, and its run began after that.
+#[test]
+fn a_success_that_arrives_after_the_next_start_stops_that_run() {
+    let (mut test, next_start) = cell_with_late_success();
     let stops = test.run_due_work().stops;
     assert_eq!(stops.len(), 1);
     assert_eq!(
@@ -141,6 +148,27 @@
     );
 }
 
+/// LOST: a worker refused the start of a task that had succeeded meanwhile. The run kept its
+/// room, and as a start without evidence it kept the worker from taking any others.
+#[test]
+fn a_refused_start_of_a_task_that_is_done_frees_its_room() {
+    let (mut test, next_start) = cell_with_late_success();
+    test.run_due_work();
+    // The stop has overtaken the start.
+    test.cell
+        .start_answered(&next_start, Err(OrderError::OldRun));
+    test.submit(2, PLAIN, job(2, 4_000));
+    let mut workers = Vec::new();
+    for _ in 0..40 {
+        for poll in test.run_due_work().polls {
+            test.answer_poll(&poll, WorkerListing::default());
+        }
+        workers.extend(test.record().starts.iter().map(|start| start.worker));
+        test.step(50);
+    }
+    assert_eq!(workers.len(), 2, "both workers have room for a task");
+}
+
 /// Guards against starts of an owner that was suspended for longer than it may act without
 /// the log, and may have been replaced meanwhile.
 #[test]
--- a/tests/tests/work_lives.rs
+++ b/tests/tests/work_lives.rs
@@ -100,6 +100,27 @@
     });
 }
 
+/// LOST: a refused start kept its worker from taking runs for ever.
+#[test_case(803_587, &[FaultKind::Freeze, FaultKind::SlowAnswer, FaultKind::LostAnswer]; "seed 803587")]
+#[test_case(808_281, &[FaultKind::Freeze, FaultKind::SlowAnswer]; "seed 808281")]
+fn a_suspended_owner_with_slow_answers_loses_no_job(seed: u64, kinds: &[FaultKind]) {
+    assert_no_breach(seed..seed + 1, |seed| scenario_of(seed).with_kinds(kinds));
+}
+
+/// LIMIT: runs of a former owner took no room while they were being stopped.
+#[test_case(801_047, &[FaultKind::LostAnswer]; "seed 801047")]
+#[test_case(1_020_957, &[FaultKind::LostAnswer]; "seed 1020957")]
+#[test_case(809_750, &[]; "seed 809750")]
+fn a_suspended_owner_that_is_replaced_overloads_no_worker(seed: u64, kinds: &[FaultKind]) {
+    let common = [
+        FaultKind::OwnerChange,
+        FaultKind::Freeze,
+        FaultKind::SlowAnswer,
+    ];
+    let kinds = [&common, kinds].concat();
+    assert_no_breach(seed..seed + 1, |seed| scenario_of(seed).with_kinds(&kinds));
+}
+
 /// Plays the seeds that the environment gives, and prints the broken rules.
 #[test]
 fn seeds_of_the_environment_break_no_rule() {
