Free the run of a refused start whose task is done

Cause: an earlier run of a task succeeds after the next start has left; the stop of that run overtakes the start, and the worker refuses the start. The refusal was applied to the task, which is done, and not to the run, which kept its room. As a start without evidence it also kept all ends of its worker from being acknowledged, so that the worker took no runs at all. The owner logged nothing about it.

It works because a refused order has no effect, so nothing of its run remains.

--- a/crates/pimentochute-work/src/cell/orders.rs
+++ b/crates/pimentochute-work/src/cell/orders.rs
@@ -229,7 +229,8 @@
             } else {
                 "its start was refused"
             };
-            self.requeue_run(job, index, reason);
+            // The task may have succeeded in an earlier run meanwhile.
+            self.requeue_or_free(job, index, command.worker, reason);
         }
     }
 
