Record which run of a gang was counted as failed last

Callers saw (LOST): a job with a gang is shown as failed after one attempt of two. Cause: all members of a gang end as failed; the owner that reads the first of these ends counts it and is replaced, and the next one reads the end of another member of the same run and counts it again, since only the number of failures is recorded.

The record of the second member, whose own count is not used, holds the number of the run, so that owners of earlier builds read and write the record as before.

--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -44,10 +44,16 @@
         }
         self.jobs[key].parts = vec![PartRecord::Outdated; part_count];
         for (index, record) in progress.tasks.into_iter().enumerate() {
+            let gang = self.jobs[key].gang_recorded_at(index);
             let task = &mut self.jobs[key].tasks[index];
             task.run = record.run;
-            task.failures = record.failures;
             task.checkpoint = record.checkpoint;
+            match gang {
+                Some(step_index) => {
+                    self.jobs[key].steps[step_index].last_failed_run = record.failures;
+                }
+                None => task.failures = record.failures,
+            }
             self.jobs[key].has_started |= record.failures > 0 || record.phase == TaskPhase::Done;
             match record.phase {
                 TaskPhase::Waiting => {}
--- a/crates/pimentochute-work/src/job.rs
+++ b/crates/pimentochute-work/src/job.rs
@@ -362,7 +362,10 @@
             .enumerate()
             .map(|(index, task)| TaskProgress {
                 run: task.run,
-                failures: task.failures,
+                failures: match self.gang_recorded_at(index) {
+                    Some(step_index) => self.steps[step_index].last_failed_run,
+                    None => task.failures,
+                },
                 phase: match task.placement {
                     TaskPlacement::Waiting => TaskPhase::Waiting,
                     TaskPlacement::Done => TaskPhase::Done,
@@ -382,6 +385,16 @@
         }
     }
 
+    /// Returns the gang whose `last_failed_run` the record of a task holds instead of the
+    /// failures of the task: that of the second member, whose failures are counted at the
+    /// first one.
+    pub(crate) fn gang_recorded_at(&self, index: usize) -> Option<usize> {
+        let name = self.name_of(index);
+        let step_index = self.step_index(name);
+        let is_second_member = self.step_spec(step_index).is_gang && name.index == 1;
+        is_second_member.then_some(step_index)
+    }
+
     /// Returns the progress record of a closed job.
     pub(crate) fn closing_progress(&self) -> JobProgress {
         JobProgress {
--- a/crates/pimentochute-work/src/record.rs
+++ b/crates/pimentochute-work/src/record.rs
@@ -73,7 +73,9 @@
 pub struct TaskProgress {
     /// The number of the last run; 0 before the first one.
     pub run: u32,
-    /// The number of failed runs.
+    /// The number of failed runs. A gang counts its failures at its first member; the second
+    /// one has the number of the last run that was counted, so that the next owner does not
+    /// count it again.
     pub failures: u32,
     /// Whether the task waits, is placed on a worker or is done.
     pub phase: TaskPhase,
--- a/tests/tests/work_evidence.rs
+++ b/tests/tests/work_evidence.rs
@@ -7,13 +7,14 @@
 
 use pimentochute_base::{MilliSpan, MilliTime};
 use pimentochute_work::{
-    CellPolicy, EndedRow, JobCode, JobCrashes, JobProgress, OrderError, PollCommand, RecordBatch,
-    RecordKind, RunEnd, StartCommand, TaskPhase, TaskProgress, WorkerListing, WorkerReport,
-    decode_record,
+    CellPolicy, EndedRow, JobCode, JobCrashes, JobProgress, JobStatus, OrderError, PollCommand,
+    RecordBatch, RecordKind, RunEnd, StartCommand, TaskPhase, TaskProgress, WorkerListing,
+    WorkerReport, decode_record,
 };
 use test_case::test_case;
 use work_support::{
-    PLAIN, TestCell, TestEffects, ended, job, print_logs, report, running, submission, worker_id,
+    PLAIN, TestCell, TestEffects, ended, gang, job, print_logs, report, running, submission,
+    worker_id,
 };
 
 /// When the incarnation of [`report`] started, and when the next ones do.
@@ -202,6 +203,55 @@
     assert!(recorded_losses(&batch) <= 1, "one start, two losses");
 }
 
+/// LOST: a new owner counted the failure of a gang again, since it read the end of another
+/// member of the same run, and gave the job up after one attempt of two.
+#[test]
+fn a_new_owner_counts_the_failure_of_a_gang_once() {
+    print_logs();
+    let mut test = TestCell::new(1);
+    test.add_workers(2, 1_000);
+    let (code, spec, received) = (JobCode::new(1), gang(2, 1_000), test.now);
+    test.submit(1, PLAIN, spec.clone());
+    test.run_due_work();
+    let starts = test.record().starts;
+    assert_eq!(starts.len(), 2);
+    test.answer_starts(&starts);
+    let failed = |start: &StartCommand| WorkerListing {
+        started_at: Some(FIRST_START),
+        ended: vec![ended(start, 1, RunEnd::Failed)],
+        ..WorkerListing::default()
+    };
+    test.step(200);
+    let polls = test.run_due_work().polls;
+    let first = polls.iter().find(|poll| poll.worker == starts[0].worker);
+    test.answer_poll(first.expect("a poll"), failed(&starts[0]));
+    let batch = test.cell.take_batch().expect("encodes").expect("a record");
+    let write = batch
+        .writes
+        .iter()
+        .find(|write| write.kind == RecordKind::Progress);
+    let progress = decode_record(&write.expect("a record").value).expect("decodes");
+
+    let mut next = TestCell::new(2);
+    for index in 0..2 {
+        next.cell.worker_reported(report(index, 1_000));
+    }
+    next.cell
+        .restore_submission(code, submission(PLAIN, spec, received));
+    next.cell.restore_progress(code, progress);
+    for _ in 0..20 {
+        for poll in next.run_due_work().polls {
+            let start = starts
+                .iter()
+                .find(|start| start.target.id == poll.target.id);
+            next.answer_poll(&poll, failed(start.expect("a member")));
+        }
+        next.record();
+        next.step(50);
+    }
+    assert_eq!(next.cell.state(code), Some(JobStatus::Running));
+}
+
 /// TWICE: the clock of a young worker is so low that the answer of its next incarnation
 /// passes for its own, and the ends of that one are acknowledged unread.
 #[test]
