--- a/tests/tests/work_evidence.rs
+++ b/tests/tests/work_evidence.rs
@@ -252,6 +252,57 @@
     assert_eq!(next.cell.state(code), Some(JobStatus::Running));
 }
 
+/// TWICE: a new owner gave up the runs of a worker as soon as an entry with a later start had
+/// its address, also if nobody of that name is up there.
+#[test_case(false; "by an entry that has not expired")]
+#[test_case(true; "by a worker that answers")]
+fn runs_of_a_worker_that_seems_replaced_wait_for_its_successor(is_successor_up: bool) {
+    let mut test = TestCell::new(2);
+    let successor = WorkerReport {
+        id: "earlier-life".to_owned(),
+        started_at: SECOND_START,
+        ..report(0, 4_000)
+    };
+    for entry in [report(0, 4_000), successor, report(1, 4_000)] {
+        test.cell.worker_reported(entry);
+    }
+    let code = JobCode::new(1);
+    let received = test.now;
+    test.cell
+        .restore_submission(code, submission(PLAIN, job(1, 1_000), received));
+    let task = TaskProgress {
+        run: 1,
+        phase: TaskPhase::Placed {
+            worker: worker_id(0),
+            started_at: FIRST_START,
+        },
+        ..TaskProgress::default()
+    };
+    let progress = JobProgress {
+        tasks: vec![task],
+        ..JobProgress::default()
+    };
+    test.cell.restore_progress(code, progress);
+    let mut starts = Vec::new();
+    for _ in 0..40 {
+        for poll in test.run_due_work().polls {
+            let started_at = match poll.target.id.as_str() {
+                "earlier-life" => SECOND_START,
+                _ => FIRST_START,
+            };
+            if started_at == SECOND_START && !is_successor_up {
+                let other = Err(OrderError::WrongIncarnation);
+                test.cell.poll_answered(&poll, other);
+            } else {
+                test.answer_poll(&poll, listing(started_at));
+            }
+        }
+        starts.extend(test.record().starts);
+        test.step(50);
+    }
+    assert_eq!(starts.len(), usize::from(is_successor_up));
+}
+
 /// TWICE: the clock of a young worker is so low that the answer of its next incarnation
 /// passes for its own, and the ends of that one are acknowledged unread.
 #[test]
--- a/tests/tests/work_lives.rs
+++ b/tests/tests/work_lives.rs
@@ -121,6 +121,14 @@
     assert_no_breach(seed..seed + 1, |seed| scenario_of(seed).with_kinds(&kinds));
 }
 
+/// TWICE: by the time of day of its start, an entry of an earlier life replaced the worker that
+/// is up, and a new owner gave up the runs there.
+#[test_case(510_799; "seed 510799")]
+#[test_case(513_459; "seed 513459")]
+fn an_entry_of_an_earlier_life_ends_no_run(seed: u64) {
+    assert_no_breach(seed..seed + 1, scenario_of);
+}
+
 /// Plays the seeds that the environment gives, and prints the broken rules.
 #[test]
 fn seeds_of_the_environment_break_no_rule() {
