Give a task up after two crashes only if it was suspected at the second one

Callers saw (LOST): sound jobs are shown as failed. Cause: a worker crashes for another reason long after the start of a task, which then starts beside others on the next worker; if that one crashes just after the start, the two crashes count as proof. That limit is meant for tasks that crash their workers by starting, and such a task is suspected, and starts apart, after its first crash. Before: work_crashes a_crash_long_after_the_start_is_no_proof_against_the_next_start fails; it also demands that two crashes just after a start still give the task up.

What is left are two crashes of other causes, both just after a start; nobody can tell them apart.

--- a/crates/pimentochute-work/src/crash.rs
+++ b/crates/pimentochute-work/src/crash.rs
@@ -9,8 +9,8 @@
 /// starting.
 pub(crate) const START_CRASH_WINDOW: MilliSpan = MilliSpan::new(100);
 
-/// With this many crashes, a task is given up if its job was the only suspect on the
-/// last worker, which had just answered its start.
+/// With this many crashes, a task that was suspected before the last one is given up if its
+/// job was the only suspect on the last worker, which had just answered its start.
 const MAX_START_CRASHES: u32 = 2;
 
 /// With this many crashes, a task is given up if its job was the only suspect on the
@@ -128,12 +128,14 @@
 
     fn add_evidence(&mut self, loss: RunLoss) -> bool {
         let (has_started, is_settled) = (loss.has_started(), loss.is_settled());
+        let was_suspect = self.is_suspect;
         self.crashes += u32::from(loss.is_crash && has_started);
         self.is_suspect |= loss.is_crash && !is_settled
             || self.crashes >= SUSPECT_CRASHES
             || self.losses >= SUSPECT_LOSSES;
         let limit = match loss.start {
-            StartStatus::Recent => MAX_START_CRASHES,
+            // An earlier crash long after the start says little about the task.
+            StartStatus::Recent if was_suspect => MAX_START_CRASHES,
             _ => MAX_CRASHES,
         };
         loss.is_crash && has_started && loss.is_sole && self.crashes >= limit
--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -12,7 +12,7 @@
     RunEnd, RunningRow, StartCommand, WorkerListing, decode_record,
 };
 use test_case::test_case;
-use work_support::{ADVISED, PLAIN, TestCell, gang, job, print_logs, report, submission};
+use work_support::{ADVISED, PLAIN, TestCell, gang, job, print_logs, report, running, submission};
 
 /// The step of the simulated time, in milliseconds.
 const TICK: u64 = 10;
@@ -540,7 +540,7 @@
     assert_eq!(starts[0].run, 2);
 }
 
-/// Guards against an old report, read after that of the successor, that would make a
+/// Guards against an old report, running, read after that of the successor, that would make a
 /// crashed worker look alive.
 #[test]
 fn an_old_report_does_not_bring_a_replaced_worker_back() {
@@ -590,6 +590,44 @@
     );
 }
 
+/// LOST: a sound job was shown as failed after two crashes of other causes: one long after the
+/// start of its task, and one by chance just after the next start.
+#[test]
+fn a_crash_long_after_the_start_is_no_proof_against_the_next_start() {
+    let mut test = TestCell::new(1);
+    test.add_workers(1, WORKER_CPU);
+    test.submit(1, PLAIN, job(1, 1_000));
+    let code = JobCode::new(1);
+    test.run_due_work();
+    let starts = test.record().starts;
+    test.answer_starts(&starts);
+    for _ in 0..3 {
+        test.step(200);
+        for poll in test.run_due_work().polls {
+            let listing = WorkerListing {
+                running: vec![running(&starts[0], 10)],
+                ..WorkerListing::default()
+            };
+            test.answer_poll(&poll, listing);
+        }
+    }
+    replace_worker(&mut test, 0, "successor-1");
+    for id in ["successor-2", "successor-3"] {
+        let starts = next_starts(&mut test);
+        assert_eq!(starts.len(), 1, "the task starts again");
+        assert_ne!(test.cell.state(code), Some(JobStatus::Failed));
+        test.answer_starts(&starts);
+        replace_worker(&mut test, 0, id);
+    }
+    answer_idle_polls(&mut test);
+    test.record();
+    assert_eq!(
+        test.cell.state(code),
+        Some(JobStatus::Failed),
+        "two crashes just after a start"
+    );
+}
+
 /// Guards against sound tasks that are suspected, and then given up, because they were
 /// out of reach behind a network partition.
 #[test]
