--- a/tests/tests/work_crashes.rs
+++ b/tests/tests/work_crashes.rs
@@ -540,7 +540,7 @@
     assert_eq!(starts[0].run, 2);
 }
 
-/// Guards against an old report, running, read after that of the successor, that would make a
+/// Guards against an old report, read after that of the successor, that would make a
 /// crashed worker look alive.
 #[test]
 fn an_old_report_does_not_bring_a_replaced_worker_back() {
