--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -251,17 +251,12 @@
         }
     }
 
-    /// Requeues the runs of workers that were replaced. A worker that this owner has never
-    /// reached may only seem to be, by an entry that has not expired and a time of day that
-    /// has stepped back; its runs wait for an answer of the worker that replaced it.
+    /// Requeues the runs of workers that were replaced.
     pub(super) fn requeue_replaced(&mut self) {
         let replaced: Vec<_> = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.is_replaced && !worker.runs.is_empty())
-            .filter(|(_, worker)| {
-                worker.answered_token > 0 || self.has_answered_at(&worker.report.address)
-            })
             .map(|(worker_key, _)| worker_key)
             .collect();
         for worker_key in replaced {
@@ -273,14 +268,6 @@
         }
     }
 
-    /// Returns whether the worker that holds an address has answered a poll in its present
-    /// incarnation.
-    fn has_answered_at(&self, address: &str) -> bool {
-        let holder = self.address_holders.get(address);
-        let holder = holder.and_then(|holder| self.workers.get(*holder));
-        holder.is_some_and(|holder| holder.answered_token > 0)
-    }
-
     /// Removes the workers that are absent from the platform's list and have no
     /// runs.
     pub(super) fn remove_departed(&mut self) {
