--- a/tests/tests/work_lives.rs
+++ b/tests/tests/work_lives.rs
@@ -4,7 +4,7 @@
 //!
 //! Long runs by hand: `LIVES_SEEDS=10000 cargo test --release -p pimentochute-tests --test
 //! work_lives seeds_of_the_environment -- --nocapture`, see `FaultScenario` for the other
-//! variables.
+//! variables. `LIVES_FEW_KINDS=1` draws two to four kinds of faults for each seed.
 
 #[path = "work_lives/callers.rs"]
 mod callers;
