--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -315,6 +315,7 @@
         self.capacity = capacity
         self.keeps_id = keeps_id
         self.service = service
+        self.kind = "a"
         self.server = HttpServer(self.handle)
         self.lives = 0
         self.is_up = False
@@ -350,7 +351,7 @@
         return {
             "service": self.service, "address": self.server.address, "zone": "vs-a", "version": "v1",
             "slots": 8, "state": self.state, "cold-remaining-ms": 0, "capacity": self.capacity,
-            "labels": ["a", self.rack], "clock-ms": self.clock(), "born": self.born, "seq": self.lives,
+            "labels": [self.kind, self.rack], "clock-ms": self.clock(), "born": self.born, "seq": self.lives,
         }
 
     async def write_entry(self):
@@ -568,14 +569,15 @@
         self.executors = [Executor(self.store, self.record, f"w{n}", f"r1-{n // 4}", amount) for n in range(executors)]
         self.hosts = [Host(self, n) for n in range(hosts)]
         self.version = 1
+        self.services = [SERVICE]
         self.routes = [self.route("r-jobs", "/jobs/")]
         self.tenants = [self.tenant("team-a", ["key-of-team-a"])]
 
     @staticmethod
-    def route(name, prefix, exempt=False, attempts=2):
+    def route(name, prefix, exempt=False, attempts=2, service=SERVICE):
         return {
             "name": name, "host": "jobs.example", "path-prefix": prefix, "kind": "non_idempotent",
-            "timeout-ms": 3000, "target-latency-ms": 1000, "priority": 1, "service": SERVICE,
+            "timeout-ms": 3000, "target-latency-ms": 1000, "priority": 1, "service": service,
             "max-attempts": attempts, "stretch": 2.2, "auth-exempt": exempt,
         }
 
@@ -586,8 +588,8 @@
     async def write_config(self):
         config = {
             "version": self.version, "routes": self.routes, "tenants": self.tenants,
-            "services": [{"name": SERVICE, "health-path": "/health", "max-connections": 64, "protocol": "h1",
-                          "tls": False, "admission-control": False, "standby": False}],
+            "services": [{"name": name, "health-path": "/health", "max-connections": 64, "protocol": "h1",
+                          "tls": False, "admission-control": False, "standby": False} for name in self.services],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
         }
@@ -669,6 +671,20 @@
         return status
 
 
+class LoopLag:
+    """Measures by how much the stand-ins are late, since they share one thread."""
+
+    def __init__(self):
+        self.longest = 0.0
+        self.task = asyncio.ensure_future(self.measure())
+
+    async def measure(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.02)
+            self.longest = max(self.longest, time.monotonic() - before - 0.02)
+
+
 def step(count=1, cpu=1000, mem=512, **extra):
     return {"count": count, "cpu": cpu, "mem-mb": mem, "estimate-ms": extra.pop("estimate", 1000), **extra}
 
@@ -692,9 +708,11 @@
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         cell = Cell(folder, **options)
         cell.record.note(f"the disruption is {'on' if trouble else 'off'}")
+        lag = LoopLag()
         try:
             await cell.start()
             broken = await body(cell, trouble)
+            cell.record.note(f"the stand-ins answered at most {lag.longest * 1000:.0f} ms late")
             cell.record.note("the rule was broken" if broken else "the rule held")
             return 1 if broken else 0
         finally:
