--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,45 +1,37 @@
-"""A service of six tasks; its eight executors crash and come back, one after the other."""
+"""An entry of another writer, with a service that no configuration names, stands in the list of executors."""
 
 import asyncio
+import json
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin-2"))
-from standin import job, run_case, step  # noqa: E402
+from standin import RunWatch, job, run_case, step  # noqa: E402
 
-JOB = "/jobs/00000000000005e1"
-ROUNDS = 3
-DOWN_S = 1.5
-PAUSE_S = 1.5
+JOB = "/jobs/00000000000007e1"
 
 
 async def body(cell, trouble):
-    failed_ends = []
-
-    def observe(event, executor, task, run):
-        if event == "failed":
-            failed_ends.append(task)
-
-    for executor in cell.executors:
-        executor.observer = observe
-    service = job([step(count=6, cpu=4000, mem=1024, **{"long-running": True, "anti-affinity": 1})])
-    if await cell.submit(JOB, service) != 200:
+    watch = RunWatch(cell.record, cell.executors)
+    # 16 tasks of 12 s, which fill half of the 8 executors.
+    work = job([step(count=16, cpu=4000, mem=1024, estimate=12_000)], lasts_s=12)
+    if await cell.submit(JOB, work) != 200:
         raise RuntimeError("the job was not accepted")
-    await asyncio.sleep(2)
-    for number in range(ROUNDS):
-        for executor in cell.executors:
-            if trouble:
-                await executor.crash()
-            await asyncio.sleep(DOWN_S)
-            if trouble:
-                await executor.start()
-            await asyncio.sleep(PAUSE_S)
-            state = await cell.state(JOB)
-            if state == "failed":
-                cell.record.note(f"ends that executors listed as failed: {len(failed_ends)}; nobody cancelled the job")
-                return not failed_ends
-    return False
+    await asyncio.sleep(4)
+    for number, executor in enumerate(cell.executors):
+        entry = {**executor.entry(), "service": "inventory", "born": int(time.time() * 1000)}
+        if trouble:
+            cell.record.note(f"another writer adds the entry inventory-{number}: {json.dumps(entry)}")
+            await cell.store.put("keyed.servers", f"inventory-{number}", json.dumps(entry).encode())
+        await asyncio.sleep(0.3)
+    deadline = time.monotonic() + 40
+    while time.monotonic() < deadline and not watch.breaches:
+        await asyncio.sleep(1)
+        if await cell.state(JOB) == "completed":
+            break
+    return bool(watch.breaches)
 
 
 run_case(FOLDER, body)
