Review scripts: end the processes of a case that was killed

The script itself ends what a killed case has left, by the process numbers that it wrote. Tried by hand: a killed case and a script that is told to end leave no process.

--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -541,6 +541,10 @@
             self.process = subprocess.Popen(
                 [os.path.join(ROOT, "target", "release", "pimentochute"), "edge"],
                 cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        # The script ends what is left if this process is killed.
+        if "PIDS" in os.environ:
+            with open(os.environ["PIDS"], "a") as pids:
+                print(self.process.pid, file=pids)
         self.cell.record.note(f"host {self.name} starts, callers at port {self.front}")
 
     def signal(self, number):
@@ -733,7 +737,8 @@
     try:
         result = asyncio.run(main())
     except SystemExit:
-        raise
+        # Told to end; the processes are ended, and what still waits ends with this one.
+        os._exit(2)
     except Exception as error:  # noqa: BLE001
         print(f"the case could not run: {error!r}", file=sys.stderr)
         result = 2
