Review scripts: ports of one case cannot collide

One run in twenty of case 8 could not run beside other scripts: a host found its port taken. The stand-ins keep account of the ports that they chose, and start a host again on others.

--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -26,16 +26,22 @@
 SERVICE = "orderflode"
 
 
+TAKEN_PORTS = set()
+
+
 def free_port():
     """Returns a free port below those that the system gives to outgoing connections."""
     while True:
         port = random.randrange(12_000, 30_000)
+        if port in TAKEN_PORTS:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
+        TAKEN_PORTS.add(port)
+        return port
 
 
 class Record:
@@ -515,10 +521,13 @@
     def __init__(self, cell, number):
         self.cell = cell
         self.name = f"edge-vs-a-{number}"
-        self.front, self.ready, self.peer = free_port(), free_port(), free_port()
+        self.choose_ports()
         self.process = None
         self.starts = 0
 
+    def choose_ports(self):
+        self.front, self.ready, self.peer = free_port(), free_port(), free_port()
+
     def start(self):
         settings = {
             "host": self.name, "data_centre": "vs-a", "address": LOOPBACK,
@@ -614,6 +623,12 @@
             await executor.start()
         for host in self.hosts:
             host.start()
+        await asyncio.sleep(0.5)
+        for host in self.hosts:
+            if host.process.poll() is not None:
+                # Another program has taken one of its ports.
+                host.choose_ports()
+                host.start()
         for host in self.hosts:
             await self.wait_ready(host)
         await asyncio.sleep(2)
