Log on what evidence the runs of a replaced worker are given up

The entry alone decides: the live worker counts as replaced, and an answer that it gave earlier counts as the proof that it has ended.

--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -4,7 +4,7 @@
 
 use pimentochute_base::{MilliSpan, MilliTime};
 
-use crate::worker::{EntryStatus, WorkerState};
+use crate::worker::{EndEvidence, EntryStatus, WorkerState};
 use crate::{WorkerKey, WorkerReport};
 
 use super::WorkCell;
@@ -285,17 +285,23 @@
         self.poll_soon(successor);
     }
 
-    /// Returns whether it is certain that a worker which seems to be replaced has ended. If
+    /// Returns what shows that a worker which seems to be replaced has ended, if anything. If
     /// this owner has had an answer of neither it nor the holder of its address, the holder's
     /// entry may be that of an earlier life, from before the time of day stepped back, unless
     /// it has been written since this owner loaded the list.
-    fn has_certainly_ended(&self, worker: &WorkerState) -> bool {
+    fn end_evidence(&self, worker: &WorkerState) -> Option<EndEvidence> {
         let holder = self.address_holders.get(&worker.report.address);
         let holder = holder.and_then(|holder| self.workers.get(*holder));
-        let is_holder_up = holder.is_some_and(|holder| {
-            holder.answered_token > 0 || holder.entry_written_after.is_some()
-        });
-        worker.has_left_address || worker.answered_token > 0 || is_holder_up
+        if worker.has_left_address {
+            Some(EndEvidence::OtherAnswer)
+        } else if holder.is_some_and(|holder| holder.answered_token > 0) {
+            Some(EndEvidence::SuccessorAnswer)
+        } else if worker.answered_token > 0 {
+            Some(EndEvidence::EarlierAnswer)
+        } else {
+            let written = holder.and_then(|holder| holder.entry_written_after);
+            written.map(|_| EndEvidence::SuccessorEntry)
+        }
     }
 
     /// Requeues the runs of workers that were replaced.
@@ -304,12 +310,20 @@
             .workers
             .iter()
             .filter(|(_, worker)| worker.is_replaced && !worker.runs.is_empty())
-            .filter(|(_, worker)| self.has_certainly_ended(worker))
-            .map(|(worker_key, _)| worker_key)
+            .filter_map(|(worker_key, worker)| Some((worker_key, self.end_evidence(worker)?)))
             .collect();
-        for worker_key in replaced {
+        for (worker_key, evidence) in replaced {
+            let worker = &self.workers[worker_key];
+            let evidence_text: &str = evidence.into();
+            log::warn!(
+                worker:% = worker.report.id,
+                address:% = worker.report.address,
+                evidence = evidence_text,
+                runs = worker.runs.len();
+                "cell: the runs of a replaced worker are given up"
+            );
             // A worker that drains ends its runs without a crash.
-            if !self.workers[worker_key].report.is_draining {
+            if !worker.report.is_draining {
                 self.count_loss(worker_key, true);
             }
             self.requeue_runs(worker_key, "its worker was replaced");
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -106,6 +106,20 @@
     Doubtful,
 }
 
+/// What shows that a worker which seems to be replaced at its address has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum EndEvidence {
+    /// Another worker has answered for it at its address.
+    OtherAnswer,
+    /// The holder of its address has answered.
+    SuccessorAnswer,
+    /// It has answered this owner before another worker claimed its address.
+    EarlierAnswer,
+    /// The holder of its address has written its entry since this owner loaded the list.
+    SuccessorEntry,
+}
+
 /// Why no runs start on a worker that is neither draining nor gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
