Give up the runs of a replaced worker only on an answer from its address

Cause: a worker whose address another entry claims counts as replaced, and its runs were given up if it had ever answered this owner ("earlier_answer"), or if the claimant's entry had been written since the owner loaded the list ("successor_entry"). Neither says anything about the time after the claim.

Fix: only an answer from the address counts, of the claimant (200) or of anybody but the worker (421). Until then the worker keeps its lease: it is polled beside a claimant that does not answer, and its own answer to a poll that left after the claim takes the claim back. What ran at an address where the worker answered is not given up for what happens at another one that an entry names since; such an entry no longer hides the true address. An entry alone confirms no crash of a worker that was lost before.

Test: work_entries, 12 cases.

The answer is applied at once, and not with the next maintenance.

--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -54,9 +54,11 @@
             self.polls.is_stale = true;
             return;
         }
+        let contested = self.contested_addresses();
         let planned = self.workers.iter().filter(|(_, worker)| {
-            let is_known = !worker.report.address.is_empty();
-            is_known && !worker.lease.is_polling && worker.needs_polling()
+            let address = &worker.report.address;
+            let is_polled = !worker.is_replaced() || contested.get(address) == Some(&true);
+            !address.is_empty() && is_polled && !worker.lease.is_polling && worker.needs_polling()
         });
         let mut earliest = None;
         let mut due = Vec::new();
@@ -70,7 +72,9 @@
                 due.push(worker_key);
             } else {
                 // The leases of runs end. Workers that did not answer may be gone.
-                let urgency = (worker.runs.is_empty(), worker.lease.failed_polls, next);
+                let tells_of_runs =
+                    !worker.runs.is_empty() || contested.contains_key(&worker.report.address);
+                let urgency = (!tells_of_runs, worker.lease.failed_polls, next);
                 limited.push((urgency, worker_key));
             }
         }
@@ -197,8 +201,9 @@
                 }
                 self.note_fenced(error, command.token, present);
                 self.requeue_held(command.worker);
-                if error == OrderError::WrongIncarnation {
-                    self.refute_address_holder(command.worker);
+                let is_here = self.workers[command.worker].report.address == command.target.address;
+                if error == OrderError::WrongIncarnation && is_here {
+                    self.note_other_answer(command.worker);
                 }
             }
         }
@@ -226,7 +231,11 @@
             let acknowledged = command.last_recorded_end;
             worker.acknowledged_end = worker.acknowledged_end.max(acknowledged);
         }
+        let is_first = !worker.has_answered_here();
         worker.answered_token = command.token;
+        if worker.answered_address.as_ref() != Some(&command.target.address) {
+            worker.answered_address = Some(command.target.address.clone());
+        }
         worker.answered_poll_sent_at = command.sent;
         worker.last_answer_at = now;
         worker.lease.update_clock(listing.clock, now);
@@ -249,6 +258,9 @@
             }
             worker.lease.has_control = true;
         }
+        if self.workers[worker_key].has_answered_here() {
+            self.note_own_answer(worker_key, command.sent, is_first);
+        }
     }
 
     /// Updates the runs that a worker lists, and stops those that should not run. Of these,
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -1,6 +1,6 @@
 //! Applies the platform's list of workers: new, restarted and absent ones.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pimentochute_base::{MilliSpan, MilliTime};
 
@@ -60,13 +60,19 @@
                     "cell: an entry names an earlier start of its worker"
                 );
                 worker.entry = EntryStatus::Doubtful;
-                if worker.report.address.is_empty() {
-                    // Only a record has named the worker so far, so that it cannot be polled.
-                    worker.report.address = report.address;
-                }
                 self.poll_soon(key);
             }
-            if self.workers[key].is_replaced {
+            // An entry that names a place where the worker has not answered may have been
+            // wrong about that, too, and one that only a record names has no address yet.
+            let worker = &mut self.workers[key];
+            if report.address != worker.report.address && !worker.has_answered_here() {
+                worker.report.address = report.address;
+                worker.has_left_address = false;
+                worker.lease.raise_token();
+                self.poll_soon(key);
+                self.claim_address(key);
+            }
+            if self.workers[key].is_replaced() {
                 // The worker that replaced it may have left the list.
                 self.claim_address(key);
             }
@@ -74,7 +80,7 @@
         }
         let has_restarted = report.started_at > worker.report.started_at;
         let has_moved = report.address != worker.report.address;
-        let claims_address = worker.is_replaced || has_restarted || has_moved;
+        let claims_address = worker.is_replaced() || has_restarted || has_moved;
         if report.is_draining && !worker.report.is_draining {
             log::info!(worker:% = report.id, runs = worker.runs.len(); "cell: a worker is draining");
         }
@@ -145,7 +151,7 @@
 
     /// Marks all workers that are not in the complete list `ids` as absent from the
     /// platform's list.
-    pub fn unlist_workers_except(&mut self, ids: &std::collections::BTreeSet<String>) {
+    pub fn unlist_workers_except(&mut self, ids: &BTreeSet<String>) {
         let gone: Vec<_> = self
             .worker_keys
             .keys()
@@ -158,7 +164,7 @@
     }
 
     /// Gives a worker's address to the one of its holders that started last, unless that one
-    /// has been seen to have left it. The other one has ended, and all its runs with it.
+    /// has been seen to have left it. The other one has probably ended; an answer tells.
     fn claim_address(&mut self, key: WorkerKey) {
         let report = &self.workers[key].report;
         let (address, started_at) = (report.address.clone(), report.started_at);
@@ -180,15 +186,18 @@
             }
         }
         let worker = &mut self.workers[key];
-        worker.is_replaced = false;
+        worker.replaced_since = None;
         worker.has_left_address = false;
+        let has_answered = worker.has_answered_here();
         self.address_holders.insert(address, key);
-        self.confirm_crashes(key);
+        if has_answered {
+            self.confirm_crashes(key);
+        }
     }
 
     fn replace_worker(&mut self, key: WorkerKey, successor: WorkerKey) {
         let worker = &self.workers[key];
-        if worker.is_replaced {
+        if worker.is_replaced() {
             return;
         }
         log::warn!(
@@ -200,7 +209,7 @@
             silence:% = self.now.since(worker.last_answer_at);
             "cell: a worker was replaced at its address"
         );
-        self.workers[key].is_replaced = true;
+        self.workers[key].replaced_since = Some(self.now);
     }
 
     /// Returns whether new runs may be placed on a worker.
@@ -285,23 +294,76 @@
         self.poll_soon(successor);
     }
 
-    /// Returns what shows that a worker which seems to be replaced has ended, if anything. If
-    /// this owner has had an answer of neither it nor the holder of its address, the holder's
-    /// entry may be that of an earlier life, from before the time of day stepped back, unless
-    /// it has been written since this owner loaded the list.
+    /// Applies the answer of another worker to a poll of this one: it does not run at its
+    /// address.
+    pub(super) fn note_other_answer(&mut self, key: WorkerKey) {
+        self.refute_address_holder(key);
+        let worker = &mut self.workers[key];
+        worker.has_left_address |= worker.is_replaced();
+        self.requeue_replaced();
+    }
+
+    /// Applies that a worker has answered a poll, sent at `sent`, at its address. One whose
+    /// address was claimed before is alive, so that the claim is wrong. The first answer of
+    /// an incarnation shows that the workers which it replaces have ended.
+    pub(super) fn note_own_answer(&mut self, key: WorkerKey, sent: MilliTime, is_first: bool) {
+        let worker = &self.workers[key];
+        if worker.replaced_since.is_some_and(|since| sent >= since) {
+            self.reclaim_address(key);
+        }
+        let address = &self.workers[key].report.address;
+        if is_first && self.address_holders.get(address) == Some(&key) {
+            self.confirm_crashes(key);
+            self.requeue_replaced();
+        }
+    }
+
+    /// Gives its address back to a worker that has answered there.
+    fn reclaim_address(&mut self, key: WorkerKey) {
+        let address = self.workers[key].report.address.clone();
+        let holder = self.address_holders.insert(address.clone(), key);
+        let worker = &mut self.workers[key];
+        worker.replaced_since = None;
+        worker.has_left_address = false;
+        let Some(holder) = holder.filter(|holder| *holder != key) else {
+            return;
+        };
+        let is_held = |held: &&mut WorkerState| held.report.address == address;
+        if let Some(held) = self.workers.get_mut(holder).filter(is_held) {
+            held.has_left_address = true;
+            self.replace_worker(holder, key);
+        }
+    }
+
+    /// Returns what shows that a worker which seems to be replaced has ended, if anything.
     fn end_evidence(&self, worker: &WorkerState) -> Option<EndEvidence> {
-        let holder = self.address_holders.get(&worker.report.address);
-        let holder = holder.and_then(|holder| self.workers.get(*holder));
+        if !worker.has_runs_here() {
+            return None;
+        }
         if worker.has_left_address {
-            Some(EndEvidence::OtherAnswer)
-        } else if holder.is_some_and(|holder| holder.answered_token > 0) {
-            Some(EndEvidence::SuccessorAnswer)
-        } else if worker.answered_token > 0 {
-            Some(EndEvidence::EarlierAnswer)
-        } else {
-            let written = holder.and_then(|holder| holder.entry_written_after);
-            written.map(|_| EndEvidence::SuccessorEntry)
+            return Some(EndEvidence::OtherAnswer);
         }
+        let holder = self.address_holders.get(&worker.report.address);
+        let holder = holder.and_then(|holder| self.workers.get(*holder))?;
+        let has_answered = holder.has_answered_here();
+        has_answered.then_some(EndEvidence::SuccessorAnswer)
+    }
+
+    /// Returns the addresses that are claimed from workers with runs, and whether the claimant
+    /// has not answered. Its answer tells what has become of the runs; without one, the
+    /// worker that it seems to replace is polled as well.
+    pub(super) fn contested_addresses(&self) -> BTreeMap<String, bool> {
+        let replaced = self.workers.values();
+        replaced
+            .filter(|worker| worker.is_replaced() && !worker.runs.is_empty())
+            .map(|worker| {
+                let address = &worker.report.address;
+                let holder = self.address_holders.get(address);
+                let holder = holder.and_then(|holder| self.workers.get(*holder));
+                let is_silent = holder.is_none_or(|holder| holder.lease.failed_polls > 0);
+                (address.clone(), is_silent)
+            })
+            .collect()
     }
 
     /// Requeues the runs of workers that were replaced.
@@ -309,7 +371,7 @@
         let replaced: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.is_replaced && !worker.runs.is_empty())
+            .filter(|(_, worker)| worker.is_replaced() && !worker.runs.is_empty())
             .filter_map(|(worker_key, worker)| Some((worker_key, self.end_evidence(worker)?)))
             .collect();
         for (worker_key, evidence) in replaced {
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -24,10 +24,6 @@
 const MAX_ANSWER_AGE: MilliSpan = MilliSpan::new(50);
 
 /// The state of a worker, as the owner knows it.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "the list, the address and the operator determine them independently"
-)]
 #[derive(Debug)]
 pub(crate) struct WorkerState {
     pub(crate) report: WorkerReport,
@@ -36,11 +32,16 @@
     pub(crate) incarnation: IncarnationNumber,
     /// The worker is in the platform's list.
     pub(crate) in_platform_list: bool,
-    /// A worker that started later has the same address, so this one has ended.
-    pub(crate) is_replaced: bool,
+    /// Since when another entry claims the address for a worker that seems to have started
+    /// later, on the cell's clock. Nothing starts here meanwhile, but an entry alone does not
+    /// prove that this worker has ended: its lease is renewed until an answer tells.
+    pub(crate) replaced_since: Option<MilliTime>,
     /// Another worker has answered for this one at its address, so it has ended, whatever the
     /// starts of both say.
     pub(crate) has_left_address: bool,
+    /// The address at which the worker last answered this owner, so where its runs are; `None`
+    /// before the first answer.
+    pub(crate) answered_address: Option<String>,
     /// The last entry of the worker was written at this time or later, on the cell's
     /// clock; `None` if that is not known.
     pub(crate) entry_written_after: Option<MilliTime>,
@@ -106,18 +107,15 @@
     Doubtful,
 }
 
-/// What shows that a worker which seems to be replaced at its address has ended.
+/// What shows that a worker which seems to be replaced at its address has ended. Entries do
+/// not: another writer may have left them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum EndEvidence {
     /// Another worker has answered for it at its address.
     OtherAnswer,
-    /// The holder of its address has answered.
+    /// The holder of its address has answered there.
     SuccessorAnswer,
-    /// It has answered this owner before another worker claimed its address.
-    EarlierAnswer,
-    /// The holder of its address has written its entry since this owner loaded the list.
-    SuccessorEntry,
 }
 
 /// Why no runs start on a worker that is neither draining nor gone.
@@ -344,8 +342,9 @@
             report,
             incarnation: IncarnationNumber::FIRST,
             in_platform_list: true,
-            is_replaced: false,
+            replaced_since: None,
             has_left_address: false,
+            answered_address: None,
             entry_written_after: None,
             entry: EntryStatus::Current,
             is_evacuated: false,
@@ -416,7 +415,7 @@
             .withheld_since
             .is_some_and(|since| now.since(since) > MAX_ACKNOWLEDGE_WAIT);
         let reasons = [
-            (self.is_replaced, PauseReason::Replaced),
+            (self.is_replaced(), PauseReason::Replaced),
             (self.entry != EntryStatus::Current, PauseReason::Entry),
             (!self.lease.has_control, PauseReason::Control),
             (is_withheld, PauseReason::EndsWithheld),
@@ -440,18 +439,39 @@
         (open.clone().count(), open.map(|run| run.percent_at).min())
     }
 
+    /// Returns whether another entry claims the worker's address, so that it may have ended.
+    pub(crate) const fn is_replaced(&self) -> bool {
+        self.replaced_since.is_some()
+    }
+
+    /// Returns whether the present incarnation has answered this owner at its address.
+    pub(crate) fn has_answered_here(&self) -> bool {
+        self.answered_token > 0 && self.answered_address.as_ref() == Some(&self.report.address)
+    }
+
+    /// Returns whether the runs are at the worker's address as far as this owner knows. They
+    /// are not if an entry has named another one since the last answer.
+    pub(crate) fn has_runs_here(&self) -> bool {
+        let answered = self.answered_address.as_ref();
+        answered.is_none_or(|address| *address == self.report.address)
+    }
+
     /// Returns whether the worker has to be polled: the owner lacks control, the
     /// worker still has to be told that ends are recorded, it may have runs, or a
-    /// suspected task is to start there.
+    /// suspected task is to start there. One that seems to be replaced is polled only for
+    /// its runs.
     pub(crate) fn needs_polling(&self) -> bool {
-        !self.is_replaced
-            && (!self.lease.has_control
-                || self.entry != EntryStatus::Current
-                || self.withheld_since.is_some()
-                || self.last_recorded_end < self.applied_end
-                || !self.unwanted_runs.is_empty()
-                || self.apart_job.is_some()
-                || self.runs.values().any(|run| run.order_token.is_some()))
+        let may_run = self.runs.values().any(|run| run.order_token.is_some());
+        if self.is_replaced() {
+            return may_run;
+        }
+        !self.lease.has_control
+            || self.entry != EntryStatus::Current
+            || self.withheld_since.is_some()
+            || self.last_recorded_end < self.applied_end
+            || !self.unwanted_runs.is_empty()
+            || self.apart_job.is_some()
+            || may_run
     }
 
     /// Returns whether a start has left that this incarnation is not known to have carried
