Set entries of unknown pools aside, and count the entries that are not used

One of a pool that no configuration names was taken for a worker, polled every 0.3 s for good, and under the key of a worker, with the address of another one, it ended what that worker ran as a new owner loaded the list: the task ran twice (TWICE).

Cause: entries were let in whatever pool they name. Lines and counters: an unreadable entry had a line each time and no counter, one with a start in the future the same, one whose claim is refuted neither.

What runs in a pool that a configuration leaves out runs on: its worker's entries stay in use, and a new owner adopts the kept entry of a worker that a record names, without trusting its address. All entries that are not used share one line a second, with the last one's flaw and the number, and four labels of the counter cell_decisions.

Test: work_entries, 7 new cases.

--- a/crates/pimentochute-edge/src/owner/load.rs
+++ b/crates/pimentochute-edge/src/owner/load.rs
@@ -11,7 +11,7 @@
 use super::mirror::{JobMirror, LoadProgress, TopicMirror};
 use crate::context::EdgeContext;
 use crate::outage_log::OutageLog;
-use crate::{AppendCall, KeyedRecord, StoreError, WriterStamp};
+use crate::{AppendCall, CodecError, KeyedRecord, StoreError, WriterStamp};
 
 /// The topic that holds the submissions and the progress of jobs, written only by
 /// the owner.
@@ -123,9 +123,12 @@
     let mirror = &*records.jobs;
     let mut ids = BTreeSet::new();
     for record in records.workers.records() {
-        if let Some(report) = worker_of(context, &record) {
-            ids.insert(report.id.clone());
-            cell.worker_reported(report);
+        match worker_of(context, &record) {
+            Ok(report) => {
+                ids.insert(report.id.clone());
+                cell.worker_reported(report);
+            }
+            Err(error) => cell.entry_unreadable(&record.key, &error.to_string()),
         }
     }
     let is_submission = |record: &KeyedRecord| record.key.ends_with(SUBMISSION_SUFFIX);
@@ -226,17 +229,12 @@
     Some((code_of(record)?, read_value(record)?))
 }
 
-/// Decodes the report of a worker; `None` if the record is invalid.
-pub(super) fn worker_of(context: &EdgeContext, record: &KeyedRecord) -> Option<WorkerReport> {
-    let report = context.ports.codec.worker(&record.key, &record.value);
-    report
-        .inspect_err(|error| {
-            log::warn!(
-                "owner: the worker's report with key {} is invalid: {error}",
-                record.key
-            );
-        })
-        .ok()
+/// Decodes the report of a worker.
+pub(super) fn worker_of(
+    context: &EdgeContext,
+    record: &KeyedRecord,
+) -> Result<WorkerReport, CodecError> {
+    context.ports.codec.worker(&record.key, &record.value)
 }
 
 fn code_of(record: &KeyedRecord) -> Option<JobCode> {
--- a/crates/pimentochute-edge/src/owner/local_owner.rs
+++ b/crates/pimentochute-edge/src/owner/local_owner.rs
@@ -45,7 +45,7 @@
     /// It was removed.
     Removed,
     /// It cannot be read, and changes nothing.
-    Unreadable,
+    Unreadable(String),
 }
 
 /// An input of the owner: a request, or records that were read from the log.
--- a/crates/pimentochute-edge/src/owner/readers.rs
+++ b/crates/pimentochute-edge/src/owner/readers.rs
@@ -141,7 +141,9 @@
         if record.value.is_empty() {
             return EntryChange::Removed;
         }
-        let report = load::worker_of(&self.context, record);
-        report.map_or(EntryChange::Unreadable, EntryChange::Reported)
+        match load::worker_of(&self.context, record) {
+            Ok(report) => EntryChange::Reported(report),
+            Err(error) => EntryChange::Unreadable(error.to_string()),
+        }
     }
 }
--- a/crates/pimentochute-edge/src/owner/term.rs
+++ b/crates/pimentochute-edge/src/owner/term.rs
@@ -231,7 +231,9 @@
                         }
                         (EntryChange::Reported(report), None) => self.cell.worker_reported(report),
                         (EntryChange::Removed, _) => self.cell.worker_unlisted(&id),
-                        (EntryChange::Unreadable, _) => {}
+                        (EntryChange::Unreadable(error), _) => {
+                            self.cell.entry_unreadable(&id, &error);
+                        }
                     }
                 }
             }
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -30,6 +30,7 @@
 mod speeds;
 mod suspect_usage;
 mod teams;
+mod unused_entries;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -58,6 +59,7 @@
 use records::{BatchInFlight, StagedAction};
 use scarcity::RoomPressure;
 use teams::TeamState;
+use unused_entries::UnusedEntries;
 
 pub use jobs::JobStatus;
 pub use records::{RecordBatch, RecordKind, RecordWrite};
@@ -102,6 +104,7 @@
     worker_keys: BTreeMap<String, WorkerKey>,
     /// The worker at each address that started last.
     address_holders: BTreeMap<String, WorkerKey>,
+    unused_entries: UnusedEntries,
     /// The data centres whose workers get no further runs.
     evacuation: EvacuationState,
     teams: BTreeMap<String, TeamState>,
@@ -205,6 +208,7 @@
             workers: SlotMap::with_key(),
             worker_keys: BTreeMap::new(),
             address_holders: BTreeMap::new(),
+            unused_entries: UnusedEntries::default(),
             evacuation: EvacuationState::default(),
             teams: BTreeMap::new(),
             open_jobs: 0,
--- a/crates/pimentochute-work/src/cell/config.rs
+++ b/crates/pimentochute-work/src/cell/config.rs
@@ -17,6 +17,7 @@
             "cell: a configuration was applied"
         );
         self.config = config;
+        self.apply_kept_entries();
         self.needs_placement = true;
     }
 
--- a/crates/pimentochute-work/src/cell/restore.rs
+++ b/crates/pimentochute-work/src/cell/restore.rs
@@ -94,6 +94,9 @@
         if let Some(key) = self.worker_keys.get(id) {
             return *key;
         }
+        if let Some(key) = self.adopt_kept_entry(id) {
+            return key;
+        }
         let report = WorkerReport {
             id: id.to_owned(),
             started_at,
--- a/crates/pimentochute-work/src/cell/round.rs
+++ b/crates/pimentochute-work/src/cell/round.rs
@@ -134,6 +134,7 @@
         self.relays.log_calls();
         self.log_suspects();
         self.log_paused_workers();
+        self.log_unused_entries();
         self.log_learning();
     }
 
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -8,6 +8,7 @@
 use crate::{WorkerKey, WorkerReport};
 
 use super::WorkCell;
+use super::unused_entries::EntryFlaw;
 
 /// An entry whose start lies further in the future than this is invalid. Otherwise it
 /// would replace the worker at its address for good. The span covers clocks that jump.
@@ -26,16 +27,17 @@
         self.apply_report(report, Some(written_after));
     }
 
-    fn apply_report(&mut self, report: WorkerReport, written_after: Option<MilliTime>) {
+    pub(super) fn apply_report(&mut self, report: WorkerReport, written_after: Option<MilliTime>) {
         if report.started_at > self.unix_now + MAX_START_AHEAD {
-            log::warn!(
-                worker:% = report.id,
-                address:% = report.address,
-                started_at:% = report.started_at;
-                "cell: an entry is ignored: its start lies in the future"
-            );
+            let detail = format!("start {}", report.started_at);
+            self.note_unused_entry(&report.id, EntryFlaw::FutureStart, &detail);
+            return;
+        }
+        if !self.has_usable_pool(&report) {
+            self.set_entry_aside(report, written_after);
             return;
         }
+        self.drop_kept_entry(&report.id);
         let Some(key) = self.worker_keys.get(&report.id).copied() else {
             log::info!(
                 worker:% = report.id, pool:% = report.pool, address:% = report.address;
@@ -123,6 +125,7 @@
     /// it has no runs. The runs of a draining worker whose entry cannot have expired are
     /// requeued at once; those of other workers may still be running.
     pub fn worker_unlisted(&mut self, id: &str) {
+        self.drop_kept_entry(id);
         let Some(key) = self.worker_keys.get(id).copied() else {
             return;
         };
@@ -152,6 +155,7 @@
     /// Marks all workers that are not in the complete list `ids` as absent from the
     /// platform's list.
     pub fn unlist_workers_except(&mut self, ids: &BTreeSet<String>) {
+        self.drop_kept_entries_except(ids);
         let gone: Vec<_> = self
             .worker_keys
             .keys()
@@ -165,7 +169,7 @@
 
     /// Gives a worker's address to the one of its holders that started last, unless that one
     /// has been seen to have left it. The other one has probably ended; an answer tells.
-    fn claim_address(&mut self, key: WorkerKey) {
+    pub(super) fn claim_address(&mut self, key: WorkerKey) {
         let report = &self.workers[key].report;
         let (address, started_at) = (report.address.clone(), report.started_at);
         let holder = self.address_holders.get(&address).copied();
@@ -286,6 +290,7 @@
         let Some((successor, _)) = latest else {
             return;
         };
+        self.note_refuted_claim(key);
         self.workers[key].has_left_address = true;
         self.replace_worker(key, successor);
         self.address_holders
@@ -299,7 +304,7 @@
     pub(super) fn note_other_answer(&mut self, key: WorkerKey) {
         self.refute_address_holder(key);
         let worker = &mut self.workers[key];
-        worker.has_left_address |= worker.is_replaced();
+        worker.has_left_address |= worker.is_replaced() || worker.has_answered_here();
         self.requeue_replaced();
     }
 
@@ -311,6 +316,7 @@
         if worker.replaced_since.is_some_and(|since| sent >= since) {
             self.reclaim_address(key);
         }
+        self.workers[key].has_left_address = false;
         let address = &self.workers[key].report.address;
         if is_first && self.address_holders.get(address) == Some(&key) {
             self.confirm_crashes(key);
@@ -328,13 +334,25 @@
         let Some(holder) = holder.filter(|holder| *holder != key) else {
             return;
         };
-        let is_held = |held: &&mut WorkerState| held.report.address == address;
-        if let Some(held) = self.workers.get_mut(holder).filter(is_held) {
-            held.has_left_address = true;
+        let held = self.workers.get(holder);
+        if held.is_some_and(|held| held.report.address == address) {
+            self.note_refuted_claim(holder);
+            self.workers[holder].has_left_address = true;
             self.replace_worker(holder, key);
         }
     }
 
+    /// Notes that a worker does not have the address that its entry names, unless it has
+    /// answered there before.
+    fn note_refuted_claim(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        if !worker.has_answered_here() {
+            let id = worker.report.id.clone();
+            let detail = format!("address {}", worker.report.address);
+            self.note_unused_entry(&id, EntryFlaw::RefutedClaim, &detail);
+        }
+    }
+
     /// Returns what shows that a worker which seems to be replaced has ended, if anything.
     fn end_evidence(&self, worker: &WorkerState) -> Option<EndEvidence> {
         if !worker.has_runs_here() {
@@ -366,12 +384,13 @@
             .collect()
     }
 
-    /// Requeues the runs of workers that were replaced.
+    /// Requeues the runs of workers that were replaced, whether or not the successor is known.
     pub(super) fn requeue_replaced(&mut self) {
         let replaced: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.is_replaced() && !worker.runs.is_empty())
+            .filter(|(_, worker)| worker.is_replaced() || worker.has_left_address)
+            .filter(|(_, worker)| !worker.runs.is_empty())
             .filter_map(|(worker_key, worker)| Some((worker_key, self.end_evidence(worker)?)))
             .collect();
         for (worker_key, evidence) in replaced {
--- a/crates/pimentochute-work/src/decision.rs
+++ b/crates/pimentochute-work/src/decision.rs
@@ -26,6 +26,14 @@
     RefuseTooLate,
     /// A new job was refused because its team sends more than its rate while others wait.
     RefuseOverRate,
+    /// A worker's entry was not used because it cannot be decoded.
+    IgnoreUnreadableEntry,
+    /// A worker's entry was not used because its start lies in the future.
+    IgnoreFutureStart,
+    /// A worker's entry was not used because the configuration does not have its pool.
+    IgnoreUnknownPool,
+    /// A worker's entry was not used because another worker answers at its address.
+    IgnoreRefutedClaim,
 }
 
 /// Why a run is stopped.
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -103,7 +103,8 @@
     /// one are not known.
     Outdated,
     /// One with an earlier start than the known one: the entry is late, or the worker has
-    /// restarted and its time of day has stepped back. A poll tells.
+    /// restarted and its time of day has stepped back; or the first one that this owner has
+    /// read, of a pool that the configuration does not have. A poll tells.
     Doubtful,
 }
 
@@ -450,10 +451,13 @@
     }
 
     /// Returns whether the runs are at the worker's address as far as this owner knows. They
-    /// are not if an entry has named another one since the last answer.
+    /// may not be if an entry has named another one since the last answer, or if there is only
+    /// a doubtful entry.
     pub(crate) fn has_runs_here(&self) -> bool {
-        let answered = self.answered_address.as_ref();
-        answered.is_none_or(|address| *address == self.report.address)
+        match &self.answered_address {
+            Some(address) => *address == self.report.address,
+            None => self.entry == EntryStatus::Current,
+        }
     }
 
     /// Returns whether the worker has to be polled: the owner lacks control, the
--- a/tests/tests/work_entries.rs
+++ b/tests/tests/work_entries.rs
@@ -3,14 +3,17 @@
 
 mod work_support;
 
-use pimentochute_base::{MilliSpan, MilliTime};
+use std::collections::BTreeSet;
+
+use pimentochute_base::{ConfigVersion, MilliSpan, MilliTime};
 use pimentochute_work::{
-    JobCode, JobProgress, JobStatus, OrderError, PollCommand, StartCommand, TaskPhase,
-    TaskProgress, WorkerListing, WorkerReport,
+    CellConfig, CellDecision, JobCode, JobProgress, JobStatus, OrderError, PollCommand,
+    StartCommand, TaskPhase, TaskProgress, WorkerListing, WorkerReport,
 };
 use test_case::test_case;
 use work_support::{
-    PLAIN, POOL, TestCell, TestEffects, job, print_logs, report, running, submission, worker_id,
+    PLAIN, POOL, TestCell, TestEffects, config, job, print_logs, report, running, submission,
+    worker_id,
 };
 
 /// When the incarnation of [`report`] started.
@@ -37,6 +40,10 @@
     silent_until: MilliTime,
     /// The polls without an answer, and when they get one.
     polls: Vec<(MilliTime, PollCommand)>,
+    /// The workers that were polled.
+    polled: BTreeSet<String>,
+    /// The end of the lease of the worker with the first run, on its clock.
+    lease_until: MilliTime,
 }
 
 impl Scene {
@@ -57,6 +64,8 @@
             present_start: FIRST_START,
             silent_until: MilliTime::ZERO,
             polls: Vec::new(),
+            polled: BTreeSet::new(),
+            lease_until: MilliTime::ZERO,
         };
         scene.play(400);
         scene
@@ -85,6 +94,31 @@
         self.test.cell.worker_reported_after(entry, written_after);
     }
 
+    fn config_with(&self, pools: &[&str]) -> CellConfig {
+        let mut config = config();
+        let pool = config.pools.remove(POOL).expect("the pool");
+        config.pools = pools
+            .iter()
+            .map(|name| ((*name).to_owned(), pool.clone()))
+            .collect();
+        config.version = ConfigVersion::new(self.test.now.as_millis());
+        config
+    }
+
+    /// Applies a configuration that names `pools`.
+    fn set_pools(&mut self, pools: &[&str]) {
+        let config = self.config_with(pools);
+        self.test.cell.set_config(config);
+    }
+
+    /// Returns how often the present owner has made a decision since this was last asked.
+    fn count(&mut self, decision: CellDecision) -> u64 {
+        let decisions = self.test.cell.take_decisions();
+        let mut made = decisions.made();
+        let made = made.find(|(other, _)| *other == decision);
+        made.map_or(0, |(_, count)| count)
+    }
+
     /// Lets `span` milliseconds pass. The workers answer starts at once.
     fn play(&mut self, span: u64) {
         let end = self.test.now + MilliSpan::new(span);
@@ -108,13 +142,17 @@
         let due: Vec<_> = self.polls.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, poll) in due {
             let result = self.result_of(&poll);
+            if result.is_ok() && poll.target.id == self.starts[0].target.id {
+                self.lease_until = self.lease_until.max(poll.until.unwrap_or_default());
+            }
+            self.polled.insert(poll.target.id.clone());
             self.test.cell.poll_answered(&poll, result);
         }
     }
 
     /// Returns what the worker at the address of a poll answers, if one does.
     fn result_of(&self, poll: &PollCommand) -> Result<WorkerListing, OrderError> {
-        let mut indices = 0..3;
+        let mut indices = 0..4;
         let index = indices.find(|index| report(*index, 4_000).address == poll.target.address);
         let index = index.expect("the address of a worker");
         let is_busy = index == self.busy_index();
@@ -152,7 +190,12 @@
 
     /// Replaces the owner by one that has loaded `entries` and the record of the run.
     fn change_owner(&mut self, entries: &[WorkerReport]) {
-        let mut next = TestCell::new(2);
+        self.change_owner_with(entries, &[POOL]);
+    }
+
+    /// Replaces the owner by one whose configuration names `pools`.
+    fn change_owner_with(&mut self, entries: &[WorkerReport], pools: &[&str]) {
+        let mut next = TestCell::with_config(2, self.config_with(pools));
         next.now = self.test.now;
         next.step(0);
         for entry in entries {
@@ -284,3 +327,120 @@
     scene.play(250);
     assert_eq!(scene.starts.len(), 2, "the task starts elsewhere");
 }
+
+/// TWICE and wasted polls: an entry of a pool that no configuration names is not a worker of
+/// the cell, and is not polled.
+#[test]
+fn an_entry_of_an_unknown_pool_is_counted_and_not_used() {
+    let mut scene = Scene::new();
+    scene.test.cell.take_decisions();
+    let (_, workers) = scene.test.cell.sizes();
+    for _ in 0..3 {
+        let claim = scene.claim("claimant", OTHER_POOL);
+        scene.report(claim);
+        scene.play(200);
+    }
+    assert_eq!(scene.test.cell.sizes().1, workers);
+    assert_eq!(scene.count(CellDecision::IgnoreUnknownPool), 3);
+    assert!(!scene.polled.contains("claimant"));
+}
+
+/// An entry with a flaw says so in a counter, whichever it is.
+#[test]
+fn unused_entries_are_counted_by_their_flaw() {
+    let mut scene = Scene::new();
+    scene.test.cell.take_decisions();
+    let claim = scene.claim("claimant", POOL);
+    scene.report(claim.clone());
+    scene.play(200);
+    let mut future = scene.claim("future", POOL);
+    future.started_at = future.started_at + MilliSpan::new(2 * 24 * 3_600_000);
+    scene.report(future);
+    scene.test.cell.entry_unreadable("odd", "no JSON");
+    let decisions = scene.test.cell.take_decisions();
+    let made: Vec<_> = decisions.made().collect();
+    for decision in [
+        CellDecision::IgnoreRefutedClaim,
+        CellDecision::IgnoreFutureStart,
+        CellDecision::IgnoreUnreadableEntry,
+    ] {
+        assert!(made.contains(&(decision, 1)), "{decision:?} in {made:?}");
+    }
+}
+
+/// LOST: a worker whose pool is named by a later configuration gets work without another
+/// entry.
+#[test]
+fn a_worker_is_used_once_a_configuration_names_its_pool() {
+    let mut scene = Scene::new();
+    let mut later = report(3, 4_000);
+    later.pool = OTHER_POOL.to_owned();
+    scene.report(later);
+    scene.play(100);
+    scene.set_pools(&[POOL, OTHER_POOL]);
+    scene.play(200);
+    assert!(scene.polled.contains(&worker_id(3)));
+    let mut removed = report(2, 4_000);
+    removed.id = "removed".to_owned();
+    removed.pool = "removed-pool".to_owned();
+    scene.report(removed);
+    scene.test.cell.worker_unlisted("removed");
+    scene.set_pools(&[POOL, OTHER_POOL, "removed-pool"]);
+    scene.play(200);
+    assert!(!scene.polled.contains("removed"), "its entry is gone");
+}
+
+/// A worker whose pool a configuration leaves out runs on, with one owner and the next.
+#[test_case(false; "in the term of the owner")]
+#[test_case(true; "with a new owner")]
+fn a_worker_whose_pool_is_left_out_keeps_its_runs(changes_owner: bool) {
+    let mut scene = Scene::new();
+    scene.set_pools(&[OTHER_POOL]);
+    if changes_owner {
+        let entries: Vec<_> = (0..3).map(|index| report(index, 4_000)).collect();
+        scene.change_owner_with(&entries, &[OTHER_POOL]);
+    }
+    for _ in 0..10 {
+        scene.report(report(scene.busy_index(), 4_000));
+        scene.play(1_500);
+    }
+    assert!(scene.lease_until > scene.test.now, "its lease is renewed");
+    assert_eq!(scene.starts.len(), 1, "the task runs twice");
+    // The pool is named again, and the worker has been there all the while.
+    scene.set_pools(&[POOL]);
+    scene.play(1_500);
+    assert_eq!(scene.starts.len(), 1, "the task runs twice");
+}
+
+/// Guards against a wait for the end of the lease: a worker starts again at its address under
+/// another identifier while its pool is left out.
+#[test]
+fn the_runs_of_a_replaced_worker_of_a_left_out_pool_are_given_up_at_once() {
+    let mut scene = Scene::new();
+    scene.set_pools(&[OTHER_POOL]);
+    let successor = scene.claim("successor", POOL);
+    "successor".clone_into(&mut scene.present);
+    scene.present_start = successor.started_at;
+    scene.report(successor);
+    scene.play(700);
+    scene.set_pools(&[POOL]);
+    scene.play(250);
+    assert_eq!(scene.starts.len(), 2, "the task starts elsewhere");
+}
+
+/// TWICE: an entry of another writer under the key of a worker, of a pool that no
+/// configuration names, as a new owner loads the list. Its address is that of another worker.
+#[test]
+fn an_entry_of_an_unknown_pool_under_the_key_of_a_worker_ends_no_run_of_a_new_owner() {
+    let mut scene = Scene::new();
+    let busy = scene.busy_index();
+    let mut entries: Vec<_> = (0..3).map(|index| report(index, 4_000)).collect();
+    entries[busy].pool = OTHER_POOL.to_owned();
+    entries[busy].address = report((busy + 1) % 3, 4_000).address;
+    entries[busy].started_at = scene.test.now;
+    scene.change_owner(&entries);
+    scene.play(1_400);
+    scene.report(report(busy, 4_000));
+    scene.play(LEASE_TIME);
+    assert_eq!(scene.starts.len(), 1, "the task runs twice");
+}
