Count a restart as a crash only once the worker confirms it

An entry under the key of a live worker that names later starts, written again and again, gave up the job that ran there (LOST), and kept the lease of the worker from being renewed.

Cause: each entry with a later start counted as a crash of the worker under all its tasks, before any answer; three of them fail a job. Each one also began an incarnation, which voids the polls in flight and the control that renewals need; the start that a poll refutes was remembered, but only that one.

Fix: an announced loss is counted, but as one that may be taken back, and no job is given up for it. The first answer of the later start makes it a crash, that of the earlier start takes it back, and the end of the lease leaves it as the loss of a worker out of reach. A worker that has refuted a start, or has not answered yet for the last one that its entry named, is asked about a further one before anything changes; the answer that confirms it applies the entry.

Test: work_entries a_restart_that_only_entries_name_is_none, 3 cases.

--- a/crates/pimentochute-work/src/cell/answers.rs
+++ b/crates/pimentochute-work/src/cell/answers.rs
@@ -119,6 +119,16 @@
         worker.report.started_at = started_at;
         worker.entry = EntryStatus::Outdated;
         worker.refuted_start = (started_at < known).then_some(known);
+        let address = worker.report.address.clone();
+        let doubted = worker.doubted_report.take().filter(|report| {
+            // The answer confirms what the entry says.
+            report.started_at == started_at && report.address == address
+        });
+        if let Some(report) = doubted {
+            worker.is_evacuated = self.evacuation.contains(&report.data_centre);
+            worker.report = report;
+            worker.entry = EntryStatus::Current;
+        }
         // An earlier time may be that of the incarnation before, if the entry in the
         // platform's list was wrong: this is no proof of a crash.
         let is_later = started_at > known;
--- a/crates/pimentochute-work/src/cell/crashes.rs
+++ b/crates/pimentochute-work/src/cell/crashes.rs
@@ -27,9 +27,13 @@
 /// still end in time.
 const MAX_LATE_APART_DIVISOR: usize = 2;
 
-/// A worker whose runs were requeued without knowing whether it had crashed.
+/// A worker that may have crashed: its runs were requeued after its lease, or its entry
+/// names a later start.
 #[derive(Debug)]
 pub(super) struct LostWorker {
+    /// Only the worker's entry tells of the losses. No job is given up for them before an
+    /// answer confirms them, or the lease has expired.
+    is_announced: bool,
     id: String,
     address: String,
     /// The start of the lost incarnation.
@@ -64,11 +68,75 @@
     job: JobKey,
     index: usize,
     loss: RunLoss,
+    /// The task was suspected before the loss.
+    was_suspect: bool,
 }
 
 impl WorkCell {
+    /// Counts the runs of a worker whose entry names a later start as lost. They count as lost
+    /// by a crash once an answer shows that the worker has restarted.
+    pub(super) fn note_announced_restart(&mut self, worker_key: WorkerKey) {
+        let runs = self.lost_runs(worker_key, false);
+        let worker = &self.workers[worker_key];
+        if runs.is_empty() || worker.report.address.is_empty() {
+            return;
+        }
+        self.lost_workers.push(LostWorker {
+            is_announced: true,
+            id: worker.report.id.clone(),
+            address: worker.report.address.clone(),
+            started_at: worker.report.started_at,
+            lost_at: self.now,
+            runs: runs.clone(),
+        });
+        for run in runs {
+            self.jobs[run.job].tasks[run.index]
+                .crashes
+                .add_loss(run.loss);
+            self.note_loss(run, false);
+        }
+    }
+
+    /// Lets the losses that a worker's entry has announced count as those of a worker that is
+    /// out of reach: no answer has confirmed or refuted them.
+    fn count_announced_losses(&mut self, worker_key: WorkerKey) {
+        let id = &self.workers[worker_key].report.id;
+        let announced = self.lost_workers.iter_mut();
+        let announced = announced.filter(|lost| lost.is_announced && lost.id == *id);
+        let mut runs = Vec::new();
+        for lost in announced {
+            lost.is_announced = false;
+            runs.extend(lost.runs.iter().copied());
+        }
+        for run in runs {
+            self.withdraw_loss(run);
+            self.add_loss(run);
+        }
+    }
+
+    /// Takes an announced loss out of the history of its task.
+    fn withdraw_loss(&mut self, run: LostRun) {
+        if let Some(job) = self.jobs.get_mut(run.job) {
+            let history = &mut job.tasks[run.index].crashes;
+            history.remove_loss(run.loss);
+            history.is_suspect &= run.was_suspect;
+            job.crash_record = CrashRecord::Outdated;
+            self.dirty.insert(run.job);
+        }
+    }
+
+    /// Adds the loss of a run to the history of its task.
+    fn add_loss(&mut self, run: LostRun) {
+        let Some(job) = self.jobs.get_mut(run.job) else {
+            return;
+        };
+        let is_guilty = job.tasks[run.index].crashes.add_loss(run.loss);
+        self.note_loss(run, is_guilty);
+    }
+
     /// Counts the loss of a worker against the tasks that it ran or may have run.
     pub(super) fn count_loss(&mut self, worker_key: WorkerKey, is_crash: bool) {
+        self.count_announced_losses(worker_key);
         let runs = self.lost_runs(worker_key, is_crash);
         let worker = &self.workers[worker_key];
         log::warn!(
@@ -81,6 +149,7 @@
         );
         if !is_crash && !worker.report.address.is_empty() {
             self.lost_workers.push(LostWorker {
+                is_announced: false,
                 id: worker.report.id.clone(),
                 address: worker.report.address.clone(),
                 started_at: worker.report.started_at,
@@ -89,10 +158,7 @@
             });
         }
         for run in runs {
-            let is_guilty = self.jobs[run.job].tasks[run.index]
-                .crashes
-                .add_loss(run.loss);
-            self.note_loss(run, is_guilty);
+            self.add_loss(run);
         }
     }
 
@@ -119,6 +185,7 @@
                     is_sole,
                     start,
                 },
+                was_suspect: self.jobs[*job].tasks[*index].crashes.is_suspect,
             }
         });
         runs.collect()
@@ -166,8 +233,18 @@
             let is_same = lost.address == report.address || lost.id == report.id;
             is_same && lost.started_at < report.started_at
         });
-        let runs: Vec<_> = crashed.flat_map(|lost| lost.runs).collect();
-        for mut run in runs {
+        let runs = crashed.flat_map(|lost| {
+            let runs = lost.runs.into_iter();
+            runs.map(move |run| (run, lost.is_announced))
+        });
+        let runs: Vec<_> = runs.collect();
+        for (mut run, is_announced) in runs {
+            if is_announced {
+                self.withdraw_loss(run);
+                run.loss.is_crash = true;
+                self.add_loss(run);
+                continue;
+            }
             run.loss.is_crash = true;
             let Some(job) = self.jobs.get_mut(run.job) else {
                 continue;
@@ -186,9 +263,15 @@
         let returned = self.lost_workers.extract_if(.., |lost| {
             lost.id == report.id && lost.started_at == report.started_at
         });
-        let runs: Vec<_> = returned.flat_map(|lost| lost.runs).collect();
-        for run in runs {
-            if let Some(job) = self.jobs.get_mut(run.job) {
+        let runs = returned.flat_map(|lost| {
+            let runs = lost.runs.into_iter();
+            runs.map(move |run| (run, lost.is_announced))
+        });
+        let runs: Vec<_> = runs.collect();
+        for (run, is_announced) in runs {
+            if is_announced {
+                self.withdraw_loss(run);
+            } else if let Some(job) = self.jobs.get_mut(run.job) {
                 job.tasks[run.index].crashes.remove_loss(run.loss);
                 job.crash_record = CrashRecord::Outdated;
                 self.dirty.insert(run.job);
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -242,6 +242,9 @@
         let is_current = command.token >= worker.lease.control_token;
         let is_whole = listing.ended.len() < MAX_LISTED_ENDS && listing.unreadable_rows == 0;
         self.retract_loss(worker_key);
+        if self.workers[worker_key].has_answered_here() {
+            self.note_own_answer(worker_key, command.sent, is_first);
+        }
         self.apply_ends(worker_key, listing);
         self.apply_running(worker_key, listing);
         self.clear_suspects(worker_key, command.sent);
@@ -258,9 +261,6 @@
             }
             worker.lease.has_control = true;
         }
-        if self.workers[worker_key].has_answered_here() {
-            self.note_own_answer(worker_key, command.sent, is_first);
-        }
     }
 
     /// Updates the runs that a worker lists, and stops those that should not run. Of these,
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -51,6 +51,7 @@
         };
         let worker = &mut self.workers[key];
         if worker.refuted_start == Some(report.started_at) {
+            self.note_unconfirmed_start(&report);
             return;
         }
         if report.started_at < worker.report.started_at {
@@ -81,6 +82,16 @@
             return;
         }
         let has_restarted = report.started_at > worker.report.started_at;
+        let is_doubted = worker.refuted_start.is_some() && worker.has_answered_here()
+            || worker.has_open_restart() && report.address == worker.report.address;
+        if has_restarted && is_doubted {
+            self.check_start(key, &report);
+            return;
+        }
+        if has_restarted {
+            self.note_announced_restart(key);
+        }
+        let worker = &mut self.workers[key];
         let has_moved = report.address != worker.report.address;
         let claims_address = worker.is_replaced() || has_restarted || has_moved;
         if report.is_draining && !worker.report.is_draining {
@@ -109,7 +120,7 @@
         worker.report = report;
         worker.has_left_address &= !has_restarted && !has_moved;
         if has_restarted {
-            self.begin_incarnation(key, true);
+            self.begin_incarnation(key, false);
         } else if has_moved {
             let worker = &mut self.workers[key];
             worker.lease.raise_token();
@@ -121,6 +132,24 @@
         self.needs_placement = true;
     }
 
+    /// Asks a worker about a later start that its entry names. It has not confirmed another
+    /// one, or not yet, so that the entry alone changes nothing any more.
+    fn check_start(&mut self, key: WorkerKey, report: &WorkerReport) {
+        self.note_unconfirmed_start(report);
+        let worker = &mut self.workers[key];
+        worker.doubted_report = Some(report.clone());
+        if !worker.needs_polling() {
+            worker.entry = EntryStatus::Doubtful;
+        }
+        self.poll_soon(key);
+    }
+
+    /// Notes that the worker of an entry has not confirmed the start that the entry names.
+    fn note_unconfirmed_start(&mut self, report: &WorkerReport) {
+        let detail = format!("start {}", report.started_at);
+        self.note_unused_entry(&report.id, EntryFlaw::RefutedClaim, &detail);
+    }
+
     /// Marks a worker as absent from the platform's list. Its state is removed once
     /// it has no runs. The runs of a draining worker whose entry cannot have expired are
     /// requeued at once; those of other workers may still be running.
@@ -233,7 +262,7 @@
 
     /// Begins a new incarnation of a worker that has restarted. It runs nothing from
     /// before, and the next poll shows which orders reached it. Answers to earlier orders
-    /// are not admitted any more.
+    /// are not admitted any more. The loss counts as a crash only if an answer has shown it.
     pub(super) fn begin_incarnation(&mut self, key: WorkerKey, is_crash: bool) {
         if is_crash && !self.workers[key].runs.is_empty() {
             self.count_loss(key, true);
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -52,6 +52,8 @@
     pub(crate) is_evacuated: bool,
     /// A start that the platform's list named and the worker itself did not.
     pub(crate) refuted_start: Option<MilliTime>,
+    /// The last entry with a later start that is not applied before an answer confirms it.
+    pub(crate) doubted_report: Option<WorkerReport>,
     pub(crate) lease: LeaseState,
     /// The runs that are placed here, by job and index of the task.
     pub(crate) runs: BTreeMap<(JobKey, usize), PlacedRun>,
@@ -350,6 +352,7 @@
             entry: EntryStatus::Current,
             is_evacuated: false,
             refuted_start: None,
+            doubted_report: None,
             lease: LeaseState {
                 token,
                 control_token: token,
@@ -450,6 +453,12 @@
         self.answered_token > 0 && self.answered_address.as_ref() == Some(&self.report.address)
     }
 
+    /// Returns whether the present incarnation, unlike an earlier one, has not answered this
+    /// owner: only the worker's entry names its start.
+    pub(crate) const fn has_open_restart(&self) -> bool {
+        self.answered_token == 0 && self.answered_address.is_some()
+    }
+
     /// Returns whether the runs are at the worker's address as far as this owner knows. They
     /// may not be if an entry has named another one since the last answer, or if there is only
     /// a doubtful entry.
--- a/tests/tests/work_entries.rs
+++ b/tests/tests/work_entries.rs
@@ -444,3 +444,30 @@
     scene.play(LEASE_TIME);
     assert_eq!(scene.starts.len(), 1, "the task runs twice");
 }
+
+/// LOST: an entry under the key of a worker named later starts, which the worker did not
+/// confirm. Each counted as a crash of its tasks, and their job was given up; and each took
+/// the control that renews the lease.
+#[test_case(600, 600; "the worker renews its entry in between")]
+#[test_case(400, 0; "several times a second")]
+#[test_case(45, 0; "all the time")]
+fn a_restart_that_only_entries_name_is_none(span: u64, renewed_after: u64) {
+    let mut scene = Scene::new();
+    let end = scene.test.now + MilliSpan::new(2 * LEASE_TIME);
+    while scene.test.now < end {
+        let mut entry = report(scene.busy_index(), 4_000);
+        entry.started_at = scene.test.now;
+        scene.report(entry);
+        scene.play(span);
+        if renewed_after > 0 {
+            scene.report(report(scene.busy_index(), 4_000));
+            scene.play(renewed_after);
+        }
+    }
+    assert_eq!(
+        scene.test.cell.state(JobCode::new(1)),
+        Some(JobStatus::Running)
+    );
+    assert_eq!(scene.starts.len(), 1, "the task runs twice");
+    assert!(scene.lease_until > scene.test.now, "its lease is renewed");
+}
