Ask about a refuted claim again before anything changes

Cause: an entry that an answer had refuted was taken at its word again with its next start.

Fix: such an entry is asked about first, at its address; the answer of its worker applies it, any other one changes nothing.

--- a/crates/pimentochute-work/src/cell/answers.rs
+++ b/crates/pimentochute-work/src/cell/answers.rs
@@ -120,13 +120,13 @@
         worker.entry = EntryStatus::Outdated;
         worker.refuted_start = (started_at < known).then_some(known);
         let address = worker.report.address.clone();
-        let doubted = worker.doubted_report.take().filter(|report| {
+        let doubted = worker.doubted.take().filter(|doubted| {
             // The answer confirms what the entry says.
-            report.started_at == started_at && report.address == address
+            doubted.report.started_at == started_at && doubted.report.address == address
         });
-        if let Some(report) = doubted {
-            worker.is_evacuated = self.evacuation.contains(&report.data_centre);
-            worker.report = report;
+        if let Some(doubted) = doubted {
+            worker.is_evacuated = self.evacuation.contains(&doubted.report.data_centre);
+            worker.report = doubted.report;
             worker.entry = EntryStatus::Current;
         }
         // An earlier time may be that of the incarnation before, if the entry in the
--- a/crates/pimentochute-work/src/cell/polls.rs
+++ b/crates/pimentochute-work/src/cell/polls.rs
@@ -57,7 +57,9 @@
         let contested = self.contested_addresses();
         let planned = self.workers.iter().filter(|(_, worker)| {
             let address = &worker.report.address;
-            let is_polled = !worker.is_replaced() || contested.get(address) == Some(&true);
+            let is_polled = !worker.is_replaced()
+                || worker.doubted.is_some()
+                || contested.get(address) == Some(&true);
             !address.is_empty() && is_polled && !worker.lease.is_polling && worker.needs_polling()
         });
         let mut earliest = None;
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -4,7 +4,7 @@
 
 use pimentochute_base::{MilliSpan, MilliTime};
 
-use crate::worker::{EndEvidence, EntryStatus, WorkerState};
+use crate::worker::{DoubtedReport, EndEvidence, EntryStatus, WorkerState};
 use crate::{WorkerKey, WorkerReport};
 
 use super::WorkCell;
@@ -83,7 +83,8 @@
         }
         let has_restarted = report.started_at > worker.report.started_at;
         let is_doubted = worker.refuted_start.is_some() && worker.has_answered_here()
-            || worker.has_open_restart() && report.address == worker.report.address;
+            || (worker.has_open_restart() || worker.is_refuted())
+                && report.address == worker.report.address;
         if has_restarted && is_doubted {
             self.check_start(key, &report);
             return;
@@ -137,7 +138,10 @@
     fn check_start(&mut self, key: WorkerKey, report: &WorkerReport) {
         self.note_unconfirmed_start(report);
         let worker = &mut self.workers[key];
-        worker.doubted_report = Some(report.clone());
+        worker.doubted = Some(DoubtedReport {
+            report: report.clone(),
+            read_at: self.now,
+        });
         if !worker.needs_polling() {
             worker.entry = EntryStatus::Doubtful;
         }
@@ -331,6 +335,7 @@
     /// Applies the answer of another worker to a poll of this one: it does not run at its
     /// address.
     pub(super) fn note_other_answer(&mut self, key: WorkerKey) {
+        self.workers[key].doubted = None;
         self.refute_address_holder(key);
         let worker = &mut self.workers[key];
         worker.has_left_address |= worker.is_replaced() || worker.has_answered_here();
@@ -345,7 +350,15 @@
         if worker.replaced_since.is_some_and(|since| sent >= since) {
             self.reclaim_address(key);
         }
-        self.workers[key].has_left_address = false;
+        let worker = &mut self.workers[key];
+        worker.has_left_address = false;
+        if worker
+            .doubted
+            .as_ref()
+            .is_some_and(|doubted| sent >= doubted.read_at)
+        {
+            worker.doubted = None;
+        }
         let address = &self.workers[key].report.address;
         if is_first && self.address_holders.get(address) == Some(&key) {
             self.confirm_crashes(key);
--- a/crates/pimentochute-work/src/worker.rs
+++ b/crates/pimentochute-work/src/worker.rs
@@ -53,7 +53,7 @@
     /// A start that the platform's list named and the worker itself did not.
     pub(crate) refuted_start: Option<MilliTime>,
     /// The last entry with a later start that is not applied before an answer confirms it.
-    pub(crate) doubted_report: Option<WorkerReport>,
+    pub(crate) doubted: Option<DoubtedReport>,
     pub(crate) lease: LeaseState,
     /// The runs that are placed here, by job and index of the task.
     pub(crate) runs: BTreeMap<(JobKey, usize), PlacedRun>,
@@ -96,6 +96,15 @@
     pub(crate) speed: WorkerSpeed,
 }
 
+/// An entry with a later start than the known one, of a worker whose entries have named wrong
+/// ones before.
+#[derive(Debug)]
+pub(crate) struct DoubtedReport {
+    pub(crate) report: WorkerReport,
+    /// When the entry was read, on the cell's clock.
+    pub(crate) read_at: MilliTime,
+}
+
 /// Which incarnation of a worker its entry in the platform's list describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EntryStatus {
@@ -352,7 +361,7 @@
             entry: EntryStatus::Current,
             is_evacuated: false,
             refuted_start: None,
-            doubted_report: None,
+            doubted: None,
             lease: LeaseState {
                 token,
                 control_token: token,
@@ -453,6 +462,12 @@
         self.answered_token > 0 && self.answered_address.as_ref() == Some(&self.report.address)
     }
 
+    /// Returns whether an entry is all that is known of the worker, and the answer of another
+    /// one at its address has refuted it.
+    pub(crate) const fn is_refuted(&self) -> bool {
+        self.is_replaced() && self.has_left_address && self.answered_address.is_none()
+    }
+
     /// Returns whether the present incarnation, unlike an earlier one, has not answered this
     /// owner: only the worker's entry names its start.
     pub(crate) const fn has_open_restart(&self) -> bool {
@@ -472,11 +487,11 @@
     /// Returns whether the worker has to be polled: the owner lacks control, the
     /// worker still has to be told that ends are recorded, it may have runs, or a
     /// suspected task is to start there. One that seems to be replaced is polled only for
-    /// its runs.
+    /// its runs and for a start that its entry names.
     pub(crate) fn needs_polling(&self) -> bool {
         let may_run = self.runs.values().any(|run| run.order_token.is_some());
         if self.is_replaced() {
-            return may_run;
+            return may_run || self.doubted.is_some();
         }
         !self.lease.has_control
             || self.entry != EntryStatus::Current
--- a/tests/tests/work_entries.rs
+++ b/tests/tests/work_entries.rs
@@ -3,7 +3,7 @@
 
 mod work_support;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pimentochute_base::{ConfigVersion, MilliSpan, MilliTime};
 use pimentochute_work::{
@@ -169,8 +169,12 @@
         }
         // The first run ends with the worker that was there first.
         let ended = usize::from(is_busy && present != worker_id(index));
-        let mut here = self.starts[ended..].iter().rev();
-        let here = here.find(|start| start.target.id == present);
+        // The last start of a task is the one that counts.
+        let last: BTreeMap<_, _> = self.starts[ended..]
+            .iter()
+            .map(|start| (start.task.to_string(), start))
+            .collect();
+        let here = last.values().filter(|start| start.target.id == present);
         let percent = self.test.now.as_millis() / 400 % 100;
         let percent = u32::try_from(percent).expect("below 100");
         Ok(WorkerListing {
@@ -180,10 +184,7 @@
                 FIRST_START
             }),
             clock: self.test.now,
-            running: here
-                .map(|start| running(start, percent))
-                .into_iter()
-                .collect(),
+            running: here.map(|start| running(start, percent)).collect(),
             ..WorkerListing::default()
         })
     }
@@ -310,6 +311,47 @@
     );
 }
 
+/// Guards against a worker that gets no work while an entry at its address is written again
+/// and again, and against a log line for each of these entries.
+#[test]
+fn an_entry_that_is_refuted_again_and_again_does_not_pause_the_worker() {
+    let mut scene = Scene::new();
+    let claim = scene.claim("claimant", POOL);
+    scene.report(claim);
+    scene.play(200);
+    scene.test.cell.take_decisions();
+    for round in 0..20 {
+        let claim = scene.claim("claimant", POOL);
+        scene.report(claim);
+        if round == 10 {
+            scene.test.submit(2, PLAIN, job(3, 10));
+        }
+        scene.play(30);
+    }
+    assert_eq!(scene.count(CellDecision::IgnoreRefutedClaim), 20);
+    assert_eq!(scene.starts.len(), 4, "all tasks start");
+}
+
+/// LOST: a worker that starts at an address where its entry was refuted before is found, and
+/// the runs of the one before it are given up.
+#[test]
+fn a_refuted_claim_that_comes_true_is_found() {
+    let mut scene = Scene::new();
+    let claim = scene.claim("claimant", POOL);
+    scene.report(claim);
+    scene.play(300);
+    let again = scene.claim("claimant", POOL);
+    "claimant".clone_into(&mut scene.present);
+    scene.present_start = again.started_at;
+    scene.report(again);
+    scene.play(250);
+    assert_eq!(scene.starts.len(), 2, "the task starts elsewhere");
+    scene.test.submit(2, PLAIN, job(2, 4_000));
+    scene.play(300);
+    let last = scene.starts.iter().map(|start| &start.target.id);
+    assert!(last.rev().any(|id| id == "claimant"), "it gets work");
+}
+
 /// Guards against a wait for the end of the lease although another worker has taken the place
 /// of a crashed one and answers.
 #[test_case(false; "in the term of the owner")]
