Test odd entries with the hosts and the adapter as well

edge_workers the_tasks_of_a_worker_survive_an_entry_with_its_address, 2 cases: an entry of another writer at the address of a live worker that runs a task, with one owner and the next, and a configuration that names its pool later.

--- a/tests/tests/edge_workers.rs
+++ b/tests/tests/edge_workers.rs
@@ -9,6 +9,7 @@
 use pimentochute_server::settings::LoggingSettings;
 use pimentochute_tests::{EdgeCell, EdgePlatform, StoreFault};
 use pimentochute_work::{JobSubmission, decode_record, encode_record};
+use test_case::test_case;
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r","host":"jobs.example","path-prefix":"/q/","service":"pool","max-attempts":2,"stretch":2.0,"target-latency-ms":1000}],"services":[{"name":"pool"}],"tenants":[{"name":"t","api-keys":["secret"],"weight":100}]}"#;
 const JOB: &str =
@@ -188,6 +189,51 @@
     assert_eq!(most_starts(&platform), 1, "a task runs twice");
 }
 
+/// Review case 6, TWICE: entries of another writer with the addresses of live workers made their
+/// tasks run twice, with one owner and with the next.
+#[test_case("inventory"; "of a pool that no configuration names")]
+#[test_case("pool"; "of a pool with workers")]
+#[tokio::test]
+async fn the_tasks_of_a_worker_survive_an_entry_with_its_address(pool: &str) {
+    let platform = EdgePlatform::new(WORKERS, RUN_TIME);
+    let mut cell = running_job(&platform).await;
+    // The other workers have room for the tasks.
+    let claimed = platform.busy_workers();
+    let claim_addresses = || {
+        let started_at = MilliClock::system().unix_now().as_millis().to_string();
+        for index in &claimed {
+            let address = format!("127.0.0.1:{}", 1 + index);
+            let claim = entry(&address, "8000", &started_at);
+            let claim = claim.replace("\"pool\"", &format!("\"{pool}\""));
+            platform.write_record("keyed.servers", &format!("x{index}"), claim.as_bytes());
+        }
+    };
+    claim_addresses();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let owner = cell.owner().expect("the cell has an owner");
+    cell.kill(owner);
+    until("another host owns the cell", async || {
+        cell.owner().is_some_and(|next| next != owner)
+    })
+    .await;
+    let taken = Instant::now();
+    while taken.elapsed() < RESTART_TIME {
+        claim_addresses();
+        (0..WORKERS).for_each(|index| platform.renew_entry(index));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(most_starts(&platform), 1, "a task runs twice");
+    // A configuration that names their pool makes workers of the entries, and no more.
+    let named = CONFIG.replace(r#""version":1"#, r#""version":2"#);
+    let named = named.replace(
+        r#"[{"name":"pool"}]"#,
+        r#"[{"name":"pool"},{"name":"inventory"}]"#,
+    );
+    platform.write_config(&named);
+    tokio::time::sleep(RESTART_TIME).await;
+    assert_eq!(most_starts(&platform), 1, "a task runs twice");
+}
+
 /// Guards against owners that end, one after the other, because of a job in the log that
 /// no host would have accepted.
 #[tokio::test]
