Trust no address that only an entry of an unknown pool names

What callers saw: nothing; found by asking what an odd entry does that a new owner reads twice. An entry of a pool that no configuration names, under the key of a worker with a run, with the address of another worker, ended the run of a new owner (TWICE), if it was written again after the load, or for the first time after it, while only the record named the worker.

Cause: the second entry of the same pool, or the first of a worker that only a record names, counted as the worker's own. Its address was taken for the place of the run, and the answer of the other worker there for the worker's end.

Fix: such an entry stays doubtful until the worker has answered at its address. Entries with over 1,024 bytes of text are not kept, so that the kept ones take a few MB at most.

Test: work_entries an_entry_of_an_unknown_pool_under_the_key_of_a_worker_, 2 new cases, which failed before ("a task runs twice").

--- a/crates/pimentochute-work/src/cell/answers.rs
+++ b/crates/pimentochute-work/src/cell/answers.rs
@@ -127,6 +127,7 @@
         if let Some(doubted) = doubted {
             worker.is_evacuated = self.evacuation.contains(&doubted.report.data_centre);
             worker.report = doubted.report;
+            worker.in_platform_list = true;
             worker.entry = EntryStatus::Current;
         }
         // An earlier time may be that of the incarnation before, if the entry in the
--- a/crates/pimentochute-work/src/cell/unused_entries.rs
+++ b/crates/pimentochute-work/src/cell/unused_entries.rs
@@ -15,6 +15,9 @@
 /// name. Workers renew their entries, so that one that is not kept is read again.
 const MAX_KEPT: usize = 4_096;
 
+/// The longest text of an entry that is kept, in bytes.
+const MAX_KEPT_TEXT: usize = 1_024;
+
 /// The longest detail of an entry in a log line, in characters. Another writer chooses it.
 const MAX_DETAIL: usize = 160;
 
@@ -116,7 +119,8 @@
             self.poll_soon(holder);
         }
         let kept = &mut self.unused_entries.of_unknown_pools;
-        if kept.len() < MAX_KEPT || kept.contains_key(&report.id) {
+        let has_room = kept.len() < MAX_KEPT || kept.contains_key(&report.id);
+        if has_room && text_size(&report) <= MAX_KEPT_TEXT {
             let id = report.id.clone();
             kept.insert(
                 id,
@@ -181,3 +185,15 @@
         unused.unlogged = 0;
     }
 }
+
+/// Returns the size of the texts of an entry, in bytes.
+fn text_size(report: &WorkerReport) -> usize {
+    let texts = [
+        &report.id,
+        &report.address,
+        &report.pool,
+        &report.data_centre,
+    ];
+    let texts = texts.into_iter().chain(&report.labels);
+    texts.map(String::len).sum()
+}
--- a/crates/pimentochute-work/src/cell/workers.rs
+++ b/crates/pimentochute-work/src/cell/workers.rs
@@ -55,30 +55,7 @@
             return;
         }
         if report.started_at < worker.report.started_at {
-            if worker.entry == EntryStatus::Current {
-                log::info!(
-                    worker:% = report.id,
-                    started_at:% = report.started_at,
-                    known:% = worker.report.started_at;
-                    "cell: an entry names an earlier start of its worker"
-                );
-                worker.entry = EntryStatus::Doubtful;
-                self.poll_soon(key);
-            }
-            // An entry that names a place where the worker has not answered may have been
-            // wrong about that, too, and one that only a record names has no address yet.
-            let worker = &mut self.workers[key];
-            if report.address != worker.report.address && !worker.has_answered_here() {
-                worker.report.address = report.address;
-                worker.has_left_address = false;
-                worker.lease.raise_token();
-                self.poll_soon(key);
-                self.claim_address(key);
-            }
-            if self.workers[key].is_replaced() {
-                // The worker that replaced it may have left the list.
-                self.claim_address(key);
-            }
+            self.check_earlier_start(key, report);
             return;
         }
         let has_restarted = report.started_at > worker.report.started_at;
@@ -111,7 +88,14 @@
             );
         }
         worker.in_platform_list = true;
-        worker.entry = EntryStatus::Current;
+        // Nothing but the entry names the address of a worker that has not answered.
+        let is_doubtful =
+            worker.answered_address.is_none() && !self.config.pools.contains_key(&report.pool);
+        worker.entry = if is_doubtful {
+            EntryStatus::Doubtful
+        } else {
+            EntryStatus::Current
+        };
         // An entry is never older than one that was read before.
         worker.entry_written_after = worker.entry_written_after.max(written_after);
         if has_restarted {
@@ -133,6 +117,35 @@
         self.needs_placement = true;
     }
 
+    /// Asks a worker about an entry with an earlier start than the known one.
+    fn check_earlier_start(&mut self, key: WorkerKey, report: WorkerReport) {
+        let worker = &mut self.workers[key];
+        if worker.entry == EntryStatus::Current {
+            log::info!(
+                worker:% = report.id,
+                started_at:% = report.started_at,
+                known:% = worker.report.started_at;
+                "cell: an entry names an earlier start of its worker"
+            );
+            worker.entry = EntryStatus::Doubtful;
+            self.poll_soon(key);
+        }
+        // An entry that names a place where the worker has not answered may have been
+        // wrong about that, too, and one that only a record names has no address yet.
+        let worker = &mut self.workers[key];
+        if report.address != worker.report.address && !worker.has_answered_here() {
+            worker.report.address = report.address;
+            worker.has_left_address = false;
+            worker.lease.raise_token();
+            self.poll_soon(key);
+            self.claim_address(key);
+        }
+        if self.workers[key].is_replaced() {
+            // The worker that replaced it may have left the list.
+            self.claim_address(key);
+        }
+    }
+
     /// Asks a worker about a later start that its entry names. It has not confirmed another
     /// one, or not yet, so that the entry alone changes nothing any more.
     fn check_start(&mut self, key: WorkerKey, report: &WorkerReport) {
--- a/tests/tests/work_entries.rs
+++ b/tests/tests/work_entries.rs
@@ -472,15 +472,28 @@
 
 /// TWICE: an entry of another writer under the key of a worker, of a pool that no
 /// configuration names, as a new owner loads the list. Its address is that of another worker.
-#[test]
-fn an_entry_of_an_unknown_pool_under_the_key_of_a_worker_ends_no_run_of_a_new_owner() {
+#[test_case(true, 0; "in the list")]
+#[test_case(true, 2; "in the list and written again")]
+#[test_case(false, 2; "read after the list")]
+fn an_entry_of_an_unknown_pool_under_the_key_of_a_worker_ends_no_run_of_a_new_owner(
+    is_loaded: bool,
+    times: u64,
+) {
     let mut scene = Scene::new();
     let busy = scene.busy_index();
     let mut entries: Vec<_> = (0..3).map(|index| report(index, 4_000)).collect();
-    entries[busy].pool = OTHER_POOL.to_owned();
-    entries[busy].address = report((busy + 1) % 3, 4_000).address;
-    entries[busy].started_at = scene.test.now;
+    let mut odd = entries.remove(busy);
+    OTHER_POOL.clone_into(&mut odd.pool);
+    odd.address = report((busy + 1) % 3, 4_000).address;
+    odd.started_at = scene.test.now;
+    if is_loaded {
+        entries.push(odd.clone());
+    }
     scene.change_owner(&entries);
+    for _ in 0..times {
+        scene.play(10);
+        scene.report(odd.clone());
+    }
     scene.play(1_400);
     scene.report(report(busy, 4_000));
     scene.play(LEASE_TIME);
