--- a/crates/pimentochute-edge/src/owner/local_owner.rs
+++ b/crates/pimentochute-edge/src/owner/local_owner.rs
@@ -44,7 +44,7 @@
     Reported(WorkerReport),
     /// It was removed.
     Removed,
-    /// It cannot be read, and changes nothing.
+    /// It cannot be read, for this reason, and changes nothing.
     Unreadable(String),
 }
 
--- a/crates/pimentochute-work/src/cell.rs
+++ b/crates/pimentochute-work/src/cell.rs
@@ -104,6 +104,7 @@
     worker_keys: BTreeMap<String, WorkerKey>,
     /// The worker at each address that started last.
     address_holders: BTreeMap<String, WorkerKey>,
+    /// The entries that say nothing about a worker, or not yet.
     unused_entries: UnusedEntries,
     /// The data centres whose workers get no further runs.
     evacuation: EvacuationState,
--- a/crates/pimentochute-work/src/cell/unused_entries.rs
+++ b/crates/pimentochute-work/src/cell/unused_entries.rs
@@ -155,8 +155,8 @@
     }
 
     /// Adds the worker of a recorded run by its kept entry, if there is one: it has to be
-    /// polled, although nothing starts there. Its entry may be that of another writer, and
-    /// wrong about the address, until it is read again.
+    /// polled, although nothing starts there. The entry may be that of another writer, and
+    /// wrong about the address, until the worker has answered there.
     pub(super) fn adopt_kept_entry(&mut self, id: &str) -> Option<WorkerKey> {
         let entry = self.unused_entries.of_unknown_pools.remove(id)?;
         let worker_key = self.add_worker(entry.report, true);
