--- /dev/null
+++ b/review/standin-3/large.rs
@@ -0,0 +1,101 @@
+//! A caller hands in jobs whose bodies are large, but smaller than the largest one that the
+//! configuration allows. The other callers still have to get answers.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use crate::cell::{Cell, HOSTS, Verdict, route, tenant};
+
+const KEY: &str = "key-of-tenant-one-0001";
+const OTHER_KEY: &str = "key-of-tenant-two-0002";
+const TRAFFIC: Duration = Duration::from_secs(30);
+/// `finish_s` of the deployment.
+const FINISH: Duration = Duration::from_secs(14);
+
+/// The number of jobs, accepted before the large ones, that are asked for at the end.
+const ASKED_JOBS: usize = 5;
+
+/// The number of steps of a large job, whose body has 176,023 bytes.
+const STEPS: usize = 8_000;
+
+/// The number of large jobs, which are handed in at once.
+const LARGE_JOBS: usize = 16;
+
+fn large_job() -> String {
+    let step = "{\"count\":1,\"cpu\":100}";
+    format!(
+        "{{\"spec\":\"50\",\"steps\":[{}]}}",
+        vec![step; STEPS].join(",")
+    )
+}
+
+pub fn run(folder: &str, program: &str, has_trouble: bool) -> io::Result<Verdict> {
+    let tenants = format!("{},{}", tenant("one", KEY), tenant("two", OTHER_KEY));
+    let cell = Cell::start(
+        folder,
+        program,
+        &["a"; 12],
+        &tenants,
+        &route("q", "/q/", false),
+        false,
+    )?;
+    let small = "{\"spec\":\"200\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem-mb\":500,\"estimate-ms\":200}]}";
+    let mut accepted = Vec::new();
+    let mut number = 0;
+    let mut answers = [0, 0];
+    let mut began = Instant::now();
+    let mut is_sent = false;
+    while !is_sent || began.elapsed() < TRAFFIC {
+        number += 1;
+        let path = format!("/q/{number:016x}");
+        let is_accepted = cell.submit(number, OTHER_KEY, &path, small) == 200;
+        answers[usize::from(is_accepted)] += 1;
+        if is_accepted {
+            accepted.push(path);
+        }
+        if number == 10 {
+            if accepted.len() < 10 {
+                return Ok(Verdict::CouldNotRun);
+            }
+            if has_trouble {
+                let large = large_job();
+                std::thread::scope(|callers| {
+                    for job in 0..LARGE_JOBS {
+                        let (cell, large) = (&cell, &large);
+                        callers.spawn(move || {
+                            cell.submit(job, KEY, &format!("/q/{:016x}", 0xff00 + job), large)
+                        });
+                    }
+                });
+            }
+            (began, is_sent, answers) = (Instant::now(), true, [0, 0]);
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    cell.record.note("the traffic ends");
+    std::thread::sleep(FINISH);
+    // Some jobs are asked for at all hosts; one answer with a state is enough.
+    let mut lost = 0;
+    for path in accepted.iter().take(ASKED_JOBS) {
+        let is_known = std::thread::scope(|callers| {
+            let cell = &cell;
+            let ask =
+                |host: usize| callers.spawn(move || cell.state(host, OTHER_KEY, path).0 == 200);
+            let calls: Vec<_> = (0..HOSTS).map(ask).collect();
+            calls.into_iter().any(|call| call.join().unwrap_or(false))
+        });
+        lost += usize::from(!is_known);
+    }
+    cell.record.note(&format!(
+        "small jobs after the large ones: {} accepted, {} not; of {ASKED_JOBS} accepted before, {lost} got no \
+         answer of any host {} s after the traffic",
+        answers[1],
+        answers[0],
+        FINISH.as_secs()
+    ));
+    Ok(if lost == 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
+}
