Add a stand-in case of an executor that goes down and up by turns

Cause: crashes of a worker count against the tasks that it runs. Change: the case flapping of the stand-ins; it has no folder yet.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -10,6 +10,7 @@
 mod store;
 mod worker;
 
+mod flapping;
 mod foreign;
 mod large;
 mod restarted;
@@ -32,6 +33,7 @@
         "restarted" => restarted::run(folder, program, has_trouble),
         "large" => large::run(folder, program, has_trouble),
         "silent" => silent::run(folder, program, has_trouble),
+        "flapping" => flapping::run(folder, program, has_trouble),
         "foreign" => foreign::run(folder, program, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
     };
