Replace review case 14: a job starts after its cancelling was answered

The case of silent connections, 15, stays; the scripts left processes behind if they were ended by a signal. Change: a script that cuts a host off while callers hand in jobs and cancel them; each case has a process group of its own, which ends with its script.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! with 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
 mod cell;
+mod cut;
 mod host;
 mod http;
 mod json;
@@ -10,11 +11,11 @@
 mod store;
 mod worker;
 
-mod flapping;
 mod foreign;
 mod gang;
 mod restarted;
 mod silent;
+mod unasked;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -32,8 +33,8 @@
     let result = match case.as_str() {
         "restarted" => restarted::run(folder, program, has_trouble),
         "gang" => gang::run(folder, program, has_trouble),
+        "unasked" => unasked::run(folder, program, has_trouble),
         "silent" => silent::run(folder, program, has_trouble),
-        "flapping" => flapping::run(folder, program, has_trouble),
         "foreign" => foreign::run(folder, program, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
     };
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -104,6 +104,18 @@
         self.changed.notify_all();
     }
 
+    /// Returns the newest record of a key as text.
+    pub fn newest_text(&self, topic: &str, key: &str) -> String {
+        let state = self.state.lock().unwrap();
+        let newest = state
+            .topics
+            .get(topic)
+            .and_then(|topic| topic.newest.get(key.as_bytes()));
+        newest.map_or_else(String::new, |(value, _)| {
+            String::from_utf8_lossy(value).into_owned()
+        })
+    }
+
     fn handle(&self, request: &Request) -> Option<Answer> {
         match request.path.as_str() {
             "/log-append" => self.append(request),
